Add injected faults to the store stand-in and bound its event history

Tests of leases, claims and the document feed need the faults of the platform's service one call at a time: down, slow, reply lost after the write, request lost, watch silent for good, lease lapsed. FaultyStore wraps any store; the process takes the same rules over HTTP. A lost reply is a body that ends before its length, so that the client sees a broken exchange rather than a status. MemoryStore kept every event for ever; it now keeps the newest 100,000 and ends a watch from a compacted revision, which the client reports as an ended watch.

--- a/src/peridothitch/adapters/etcd_store.py
+++ b/src/peridothitch/adapters/etcd_store.py
@@ -153,6 +153,9 @@
         if not line:
             raise errors.StoreUnavailableError("watch: ended")
         result = msgspec.json.decode(line).get("result", {})
+        if result.get("canceled"):
+            reason = result.get("cancel_reason", "")
+            raise errors.StoreUnavailableError(f"watch: ended: {reason}")
         return tuple(_to_event(event) for event in result.get("events", ()))
 
     def close(self):
--- a/src/peridothitch/adapters/memory_store.py
+++ b/src/peridothitch/adapters/memory_store.py
@@ -1,5 +1,6 @@
 """Key-value service held in memory: for the embedded default and for tests."""
 
+import collections
 import dataclasses
 import datetime
 import itertools
@@ -10,7 +11,7 @@
 
 __all__ = ["MemoryStore"]
 
-_GRACE = datetime.timedelta(0)
+_MAX_EVENTS = 100_000
 
 
 @dataclasses.dataclass
@@ -27,6 +28,8 @@
     ----------
     clock : peridothitch.ports.clock.Clock
         Decides when leases lapse.
+    max_events : int
+        Changes kept for watches; older revisions are compacted.
 
     Attributes
     ----------
@@ -34,12 +37,14 @@
         Calls taken so far, an open watch counted as one.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, max_events=_MAX_EVENTS):
         self._clock = clock
+        self._max_events = max_events
         self._changed = threading.Condition()
         self._item_by_key = {}
         self._lease_by_id = {}
-        self._events = []
+        self._events = collections.deque()
+        self._compacted_revision = 0
         self._revision = 1
         self._lease_ids = itertools.count(1)
         self.call_count_by_method = {}
@@ -150,7 +155,7 @@
         if write.lease_id:
             self._lease_by_id[write.lease_id].keys.add(write.key)
         self._item_by_key[write.key] = item
-        self._events.append(store.Event(item))
+        self._record(store.Event(item))
 
     def _remove(self, key):
         item = self._item_by_key.pop(key, None)
@@ -159,14 +164,20 @@
         if item.lease_id in self._lease_by_id:
             self._lease_by_id[item.lease_id].keys.discard(key)
         gone = dataclasses.replace(item, value=b"", mod_revision=self._revision)
-        self._events.append(store.Event(gone, deleted=True))
+        self._record(store.Event(gone, deleted=True))
+
+    def _record(self, event):
+        self._events.append(event)
+        while len(self._events) > self._max_events:
+            oldest = self._events.popleft()
+            self._compacted_revision = oldest.item.mod_revision
 
     def _expire_leases(self):
         now = self._clock.monotonic()
         lapsed = [
             lease_id
             for lease_id, lease in self._lease_by_id.items()
-            if lease.expires + _GRACE <= now
+            if lease.expires <= now
         ]
         for lease_id in lapsed:
             self._end_lease(lease_id)
@@ -186,12 +197,20 @@
             if self._revision < revision:
                 self._changed.wait(timeout.total_seconds())
                 self._expire_leases()
-            return self._revision, tuple(
-                event
-                for event in self._events
-                if event.item.mod_revision >= revision
-                and event.item.key.startswith(prefix)
-            )
+            if revision <= self._compacted_revision:
+                raise errors.StoreUnavailableError(
+                    f"watch: revision {revision} has been compacted"
+                )
+            return self._revision, self._events_since(prefix, revision)
+
+    def _events_since(self, prefix, revision):
+        found = []
+        for event in reversed(self._events):
+            if event.item.mod_revision < revision:
+                break
+            if event.item.key.startswith(prefix):
+                found.append(event)
+        return tuple(reversed(found))
 
 
 class _MemoryWatch(store.Watch):
--- a/src/peridothitch/cli/standin.py
+++ b/src/peridothitch/cli/standin.py
@@ -8,6 +8,7 @@
 from peridothitch.cli import processes
 from peridothitch.ports import upstream
 from peridothitch.standins import engine as engines
+from peridothitch.standins import faulty_store
 from peridothitch.standins import hosts as host_lists
 from peridothitch.standins import service as services
 from peridothitch.standins import store as stores
@@ -35,8 +36,9 @@
 @_listen
 def store(listen):
     """Run a key-value service."""
-    memory = memory_store.MemoryStore(system_clock.SystemClock())
-    processes.serve_application(stores.StoreService(memory), listen, _announce)
+    clock = system_clock.SystemClock()
+    faulty = faulty_store.FaultyStore(memory_store.MemoryStore(clock), clock)
+    processes.serve_application(stores.StoreService(faulty), listen, _announce)
 
 
 @standin.command()
--- a/src/peridothitch/standins/store.py
+++ b/src/peridothitch/standins/store.py
@@ -1,4 +1,9 @@
-"""Stand-in for the key-value service: the etcd v3 JSON gateway over a `MemoryStore`."""
+"""Stand-in for the key-value service: the etcd v3 JSON gateway over another store.
+
+``POST /control/faults`` injects a fault, ``DELETE /control/faults`` ends all of them,
+``POST /control/leases/lapse`` ends all leases and ``GET /control/calls`` tells the
+calls counted by method.
+"""
 
 import base64
 import datetime
@@ -7,10 +12,12 @@
 
 from peridothitch import errors
 from peridothitch.ports import store
+from peridothitch.standins import faulty_store
 
 __all__ = ["StoreService"]
 
 _JSON = [("content-type", "application/json")]
+_LOST_BYTES = 1
 _WATCH_POLL = datetime.timedelta(seconds=1)
 _TARGET_BY_FIELD = {
     "version": store.Target.VERSION,
@@ -24,11 +31,11 @@
 
     Parameters
     ----------
-    memory_store : peridothitch.adapters.memory_store.MemoryStore
+    faulty : peridothitch.standins.faulty_store.FaultyStore
     """
 
-    def __init__(self, memory_store):
-        self._store = memory_store
+    def __init__(self, faulty):
+        self._store = faulty
         self._answer_by_path = {
             "/v3/kv/range": self._range,
             "/v3/kv/txn": self._transact,
@@ -36,23 +43,43 @@
             "/v3/lease/keepalive": self._keep_alive,
             "/v3/lease/revoke": self._revoke_lease,
         }
+        self._control_by_call = {
+            ("POST", "/control/faults"): self._inject,
+            ("DELETE", "/control/faults"): self._clear,
+            ("POST", "/control/leases/lapse"): self._lapse_leases,
+            ("GET", "/control/calls"): self._count_calls,
+        }
 
     def __call__(self, environ, start_response):
         """Answer one WSGI request."""
         path = environ["PATH_INFO"]
         body = msgspec.json.decode(environ["wsgi.input"].read() or b"{}")
+        control = self._control_by_call.get((environ["REQUEST_METHOD"], path))
+        if control is not None:
+            start_response("200 OK", _JSON)
+            return [msgspec.json.encode(control(body))]
+        try:
+            return self._answer(environ, body, start_response)
+        except errors.StoreUnclearError:
+            # The reply breaks off: its connection ends before the length it promised.
+            lost = ("content-length", str(_LOST_BYTES))
+            start_response("200 OK", [*_JSON, lost])
+            return []
+        except errors.StoreUnavailableError as error:
+            start_response("503 Service Unavailable", _JSON)
+            return [msgspec.json.encode({"code": 14, "message": error.detail})]
+
+    def _answer(self, environ, body, start_response):
+        path = environ["PATH_INFO"]
         if path == "/v3/watch":
+            watch = self._open_watch(body["create_request"])
             start_response("200 OK", _JSON)
-            return self._watch(body["create_request"])
+            return self._watch(watch, environ["waitress.client_disconnected"])
         answer = self._answer_by_path.get(path)
         if answer is None:
             start_response("404 Not Found", _JSON)
             return [b"{}"]
-        try:
-            reply = answer(body)
-        except errors.StoreError as error:
-            start_response("400 Bad Request", _JSON)
-            return [msgspec.json.encode({"code": 5, "message": error.detail})]
+        reply = answer(body)
         reply["header"] = {"revision": str(self._store.revision)}
         start_response("200 OK", _JSON)
         return [msgspec.json.encode(reply)]
@@ -84,12 +111,36 @@
         self._store.revoke_lease(int(body["ID"]))
         return {}
 
-    def _watch(self, create):
+    def _inject(self, body):
+        self._store.inject(msgspec.convert(body, faulty_store.FaultRule, strict=False))
+        return {}
+
+    def _clear(self, body):
+        self._store.clear()
+        return {}
+
+    def _lapse_leases(self, body):
+        self._store.lapse_leases()
+        return {}
+
+    def _count_calls(self, body):
+        return dict(self._store.call_count_by_method)
+
+    def _open_watch(self, create):
         revision = int(create.get("start_revision", 0)) or self._store.revision + 1
-        watch = self._store.watch(_text(create["key"]), revision)
+        return self._store.watch(_text(create["key"]), revision)
+
+    def _watch(self, watch, client_gone):
         yield self._watch_line({"created": True})
-        while True:
-            events = watch.poll(_WATCH_POLL)
+        while not client_gone():
+            try:
+                events = watch.poll(_WATCH_POLL)
+            except errors.StoreUnavailableError as error:
+                canceled = {"canceled": True, "cancel_reason": error.detail}
+                yield self._watch_line(canceled)
+                return
+            if watch.silent:
+                continue
             encoded = [_to_json_event(event) for event in events]
             yield self._watch_line({"events": encoded})
 
