Report every attempt to its observers, streamed ones included

Cause: the handler took observers and never called them, so nothing could learn from attempts. The attempt loop and one attempt now have modules of their own; an attempt reports one outcome when it ends, also when its stream is cut or the caller leaves. An observer that raises is counted and doesn't fail the request.

--- a/src/peridothitch/gateway/handler.py
+++ b/src/peridothitch/gateway/handler.py
@@ -11,10 +11,10 @@
 from peridothitch import errors
 from peridothitch.adapters import problems
 from peridothitch.coordination import claims
-from peridothitch.gateway import customers, jobs
-from peridothitch.policy import choice, routes
+from peridothitch.gateway import attempts, customers, dispatch, jobs
 from peridothitch.policy import document as documents
-from peridothitch.ports import messages, upstream
+from peridothitch.policy import routes
+from peridothitch.ports import messages
 
 __all__ = ["RequestHandler"]
 
@@ -24,7 +24,6 @@
 _JSON = "application/json"
 _EVENT_STREAM = "text/event-stream"
 _REQUEST_ID_BYTES = 16
-_REPEATABLE_STATUS = 503
 
 
 class _Indexes:
@@ -71,16 +70,25 @@
         data_centre,
     ):
         self._feed = feed
-        self._view = view
-        self._transport = transport
         self._claims = claim_book
         self._clock = clock
         self._metrics = metrics
         self._tracer = tracer
         self._admission = admission
-        self._version_picker = version_picker
-        self._observers = tuple(observers)
-        self._data_centre = data_centre
+        runner = attempts.AttemptRunner(
+            view=view,
+            transport=transport,
+            clock=clock,
+            metrics=metrics,
+            tracer=tracer,
+            observers=observers,
+        )
+        self._dispatcher = dispatch.Dispatcher(
+            runner=runner,
+            view=view,
+            version_picker=version_picker,
+            data_centre=data_centre,
+        )
         self._indexes = None
         self._draining = threading.Event()
         self._active_changed = threading.Condition()
@@ -267,98 +275,27 @@
         return {_REQUEST_ID_HEADER: job.request_id, _KEY_HEADER: job.key}
 
     def _dispatch(self, job, span):
-        route = job.route
-        version = self._version_picker.pick(job)
-        tried = set()
-        failure = errors.RequestError(
-            errors.Code.NO_UPSTREAM, f"no live host runs {route.service} {version}"
-        )
-        for _ in range(route.attempts):
-            context = choice.ChoiceContext(
-                version=version,
-                data_centre=self._data_centre,
-                tried=frozenset(tried),
-                in_flight_by_host_id=self._view.in_flight(),
-            )
-            host = choice.choose_host(self._view.hosts(route.service), context)
-            if host is None:
-                break
-            tried.add(host.host_id)
-            try:
-                return self._attempt(job, host, span)
-            except errors.UpstreamError as error:
-                self._metrics.count("attempt_failures", code=int(error.code))
-                failure = errors.RequestError(error.code, error.detail, error.ran)
-                if not self._may_retry(route, error):
-                    break
-        raise failure
-
-    def _may_retry(self, route, error):
-        if error.ran is errors.Ran.NO:
-            return True
-        return route.effect is not documents.Effect.ONCE
-
-    def _attempt(self, job, host, span):
-        scope = contextlib.ExitStack()
-        with contextlib.ExitStack() as guard:
-            guard.callback(scope.close)
-            scope.enter_context(self._view.track(host.host_id))
-            hop = scope.enter_context(
-                self._tracer.span("attempt", parent=span, host=host.host_id)
-            )
-            exchange = self._transport.open(host, self._call(job, hop))
-            scope.callback(exchange.cancel)
-            if exchange.status == _REPEATABLE_STATUS:
-                raise errors.UpstreamError(
-                    errors.Code.UPSTREAM_REFUSED,
-                    f"{host.host_id} refused the request",
-                    errors.Ran.NO,
-                )
-            reply = self._reply(job, exchange, scope)
-            guard.pop_all()
-        return reply
-
-    def _call(self, job, hop):
-        request = job.request
-        remaining = job.deadline - self._clock.monotonic()
-        if remaining <= datetime.timedelta(0):
-            raise errors.UpstreamError(
-                errors.Code.DEADLINE_EXCEEDED, "the deadline passed", errors.Ran.NO
-            )
-        route = job.route
-        header_by_name = {
-            "content-type": request.header_by_name.get("content-type", _JSON),
-            "accept": request.header_by_name.get("accept", "*/*"),
-            _KEY_HEADER: job.key,
-            _REQUEST_ID_HEADER: job.request_id,
-        }
-        path = request.path + (f"?{request.query}" if request.query else "")
-        return upstream.Call(
-            method=request.method,
-            path=path,
-            header_by_name=header_by_name | self._tracer.headers(hop),
-            body=request.body,
-            streamed=job.streamed,
-            first_byte_timeout=min(route.first_byte_timeout, remaining),
-            gap_timeout=min(route.gap_timeout, remaining),
-        )
-
-    def _reply(self, job, exchange, scope):
-        content_type = exchange.header_by_name.get("content-type", _JSON)
+        attempt = self._dispatcher.open(job, span)
+        content_type = attempt.header_by_name.get("content-type", _JSON)
         header_by_name = self._headers(job) | {"content-type": content_type}
         if job.streamed and content_type.startswith(_EVENT_STREAM):
-            chunks = self._relay(job, exchange, scope)
+            chunks = self._relay(job, attempt)
         else:
-            chunks = (exchange.read(),)
-            scope.close()
+            chunks = (self._read(attempt),)
         return messages.Reply(
-            status=exchange.status, header_by_name=header_by_name, chunks=chunks
+            status=attempt.status, header_by_name=header_by_name, chunks=chunks
         )
 
-    def _relay(self, job, exchange, scope):
-        with scope:
+    def _read(self, attempt):
+        try:
+            return attempt.read()
+        except errors.UpstreamError as error:
+            raise errors.RequestError(error.code, error.detail, error.ran) from None
+
+    def _relay(self, job, attempt):
+        with contextlib.closing(attempt.events()) as events:
             try:
-                for event in exchange.events():
+                for event in events:
                     yield event
                     if job.request.caller_gone():
                         self._metrics.count("callers_gone")
