--- a/features/processes.py
+++ b/features/processes.py
@@ -28,21 +28,34 @@
 
 
 class Fleet:
-    """Processes of one scenario by name."""
-
-    def __init__(self):
+    """Processes of one scenario by name.
+
+    Parameters
+    ----------
+    command : sequence of str
+        What starts the product; the source tree by default.
+    environment : dict of str to str
+        Added to this process's environment.
+    """
+
+    def __init__(
+        self, command=(sys.executable, "-m", "peridothitch"), environment=None
+    ):
+        self._command = tuple(command)
+        self._environment = os.environ | {"PYTHONPATH": str(ROOT / "src")}
+        self._environment |= environment or {}
         self.process_by_name = {}
         self.address_by_name = {}
 
     def start(self, name, *arguments):
         """Start a process and wait until it listens; returns its address."""
         process = subprocess.Popen(
-            [sys.executable, "-m", "peridothitch", *map(str, arguments)],
+            [*self._command, *map(str, arguments)],
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
             cwd=ROOT,
-            env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
+            env=self._environment,
         )
         self.process_by_name[name] = process
         for line in process.stdout:
@@ -55,11 +68,11 @@
     def run(self, *arguments):
         """Run a command to its end; returns the completed process."""
         return subprocess.run(
-            [sys.executable, "-m", "peridothitch", *map(str, arguments)],
+            [*self._command, *map(str, arguments)],
             capture_output=True,
             text=True,
             cwd=ROOT,
-            env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
+            env=self._environment,
             check=False,
         )
 
--- a/src/peridothitch/errors.py
+++ b/src/peridothitch/errors.py
@@ -61,6 +61,7 @@
     UNKNOWN_SECTION = 5006
     INVALID_SETTING = 6001
     ADDRESS_IN_USE = 6002
+    UNPACK_FAILED = 6003
     INTERNAL = 9001
 
     @property
@@ -104,6 +105,7 @@
     Code.UNKNOWN_SECTION: (404, "The document has no such section."),
     Code.INVALID_SETTING: (400, "A flag or environment variable is invalid."),
     Code.ADDRESS_IN_USE: (500, "The listen address is in use."),
+    Code.UNPACK_FAILED: (500, "The program could not unpack itself into memory."),
     Code.INTERNAL: (500, "An unexpected error occurred."),
 }
 
