Add gossip, membership and thrift calls between entry hosts

Hosts tell each other facts on every probe of a SWIM-like membership and compare digests of the rest; a few hosts per data centre keep their address in the store so that new hosts find the fleet.

Ruled out: heartbeats to all (bytes grow with the fleet), one leased key per host (store calls grow with the fleet).

--- /dev/null
+++ b/features/fake_network.py
@@ -0,0 +1,231 @@
+"""A virtual clock and a network in memory for scenarios about many hosts."""
+
+import concurrent.futures
+import dataclasses
+import datetime
+import random
+
+from peridothitch import errors
+from peridothitch.coordination import gossip, membership
+from peridothitch.ports import clock, peer_transport, peers
+
+START = datetime.datetime(2026, 12, 4, tzinfo=datetime.UTC)
+STEP = datetime.timedelta(milliseconds=250)
+HEADER_BYTES = 120
+
+
+class VirtualClock(clock.Clock):
+    """Time that moves when a scenario says so."""
+
+    def __init__(self):
+        self.elapsed = datetime.timedelta(seconds=1000)
+
+    def now(self):
+        return START + self.elapsed
+
+    def monotonic(self):
+        return self.elapsed
+
+    def wait(self, event, timeout):
+        self.elapsed += timeout
+        return event.is_set()
+
+
+class InlineExecutor(concurrent.futures.Executor):
+    """Runs each call at once in the caller's thread."""
+
+    def submit(self, call, /, *arguments, **options):
+        future = concurrent.futures.Future()
+        try:
+            future.set_result(call(*arguments, **options))
+        except Exception as error:
+            future.set_exception(error)
+        return future
+
+
+class NullMetrics:
+    """Metrics that only count."""
+
+    def __init__(self):
+        self.count_by_name = {}
+
+    def count(self, name, amount=1, **labels):
+        self.count_by_name[name] = self.count_by_name.get(name, 0) + amount
+
+    def set(self, name, value, **labels):
+        pass
+
+    def observe(self, name, duration, **labels):
+        pass
+
+
+class Network:
+    """Delivers calls between hosts unless a fault forbids it."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.transport_by_address = {}
+        self.silent = set()
+        self.group_by_address = {}
+        self.loss = 0.0
+        self.bytes_by_address = {}
+
+    def can_reach(self, source, target):
+        if target not in self.transport_by_address or target in self.silent:
+            return False
+        group = self.group_by_address.get
+        if group(source, 0) != group(target, 0):
+            return False
+        return self.random.random() >= self.loss
+
+    def count(self, address, size):
+        total = self.bytes_by_address.get(address, 0)
+        self.bytes_by_address[address] = total + size + HEADER_BYTES
+
+
+class FakeTransport(peer_transport.PeerTransport):
+    """One host's end of a `Network`."""
+
+    def __init__(self, network, address):
+        self.address = address
+        self._network = network
+        self._answer_by_method = {}
+        network.transport_by_address[address] = self
+
+    def register(self, method, answer):
+        self._answer_by_method[method] = answer
+
+    def call(self, address, method, payload, timeout, fresh=False):
+        network = self._network
+        if not network.can_reach(self.address, address):
+            raise errors.PeerError(f"{address} is silent", sent=True)
+        target = network.transport_by_address[address]
+        try:
+            reply = target._answer_by_method[method](payload)
+        except errors.CodedError as error:
+            raise errors.PeerError(error.detail, sent=True) from None
+        for end in (self.address, address):
+            network.count(end, len(payload) + len(reply))
+        if not network.can_reach(address, self.address):
+            raise errors.PeerError("the reply was lost", sent=True)
+        return reply
+
+
+@dataclasses.dataclass
+class Node:
+    """One host of a fake fleet."""
+
+    transport: FakeTransport
+    gossip: gossip.Gossip
+    membership: membership.Membership
+    metrics: NullMetrics
+    phase: int
+
+
+class FakeFleet:
+    """Hosts that share a virtual clock and a network."""
+
+    def __init__(self, count, seed, data_centres=4):
+        self.clock = VirtualClock()
+        self.network = Network(seed)
+        self.random = random.Random(seed)
+        self.data_centres = data_centres
+        self.node_by_id = {}
+        self.frozen = set()
+        self.steps = 0
+        for _ in range(count):
+            self.add()
+
+    def add(self, seeds=None):
+        index = len(self.network.transport_by_address)
+        host_id = f"entry-{index}"
+        transport = FakeTransport(self.network, f"10.0.{index // 250}.{index % 250}:1")
+        peer = peers.Peer(
+            host_id=host_id,
+            address=transport.address,
+            data_centre=f"dc-{index % self.data_centres}",
+        )
+        metrics = NullMetrics()
+        board = gossip.Gossip(self.clock, metrics, urgent_kinds=("revision",))
+        first = next(iter(self.node_by_id.values()), None)
+        if seeds is None:
+            seeds = (first.transport.address,) if first else ()
+        member = membership.Membership(
+            peer,
+            transport,
+            board,
+            self.clock,
+            metrics,
+            random_source=random.Random(self.random.random()),
+            executor=InlineExecutor(),
+            seeds=seeds,
+        )
+        node = Node(transport, board, member, metrics, index % 2)
+        self.node_by_id[host_id] = node
+        return host_id
+
+    def live(self):
+        """Return the ids of the hosts that run."""
+        return set(self.node_by_id) - self.frozen
+
+    def kill(self, host_id):
+        node = self.node_by_id.pop(host_id)
+        del self.network.transport_by_address[node.transport.address]
+
+    def freeze(self, host_id):
+        self.frozen.add(host_id)
+        self.network.silent.add(self.node_by_id[host_id].transport.address)
+
+    def resume(self, host_id):
+        self.frozen.discard(host_id)
+        self.network.silent.discard(self.node_by_id[host_id].transport.address)
+
+    def split(self, host_ids):
+        """Cut off a set of hosts from all others."""
+        self.network.group_by_address = {
+            self.node_by_id[host_id].transport.address: 1 for host_id in host_ids
+        }
+
+    def heal(self):
+        self.network.group_by_address = {}
+        self.network.loss = 0.0
+        for host_id in list(self.frozen):
+            self.resume(host_id)
+
+    def step(self):
+        self.clock.elapsed += STEP
+        self.steps += 1
+        for host_id in sorted(self.live()):
+            node = self.node_by_id[host_id]
+            if node.gossip.urgent.is_set():
+                node.gossip.urgent.clear()
+                node.membership.push()
+            if self.steps % 2 == node.phase:
+                node.membership.tick()
+
+    def run(self, duration):
+        end = self.clock.elapsed + duration
+        while self.clock.elapsed < end:
+            self.step()
+
+    def run_until(self, condition, limit):
+        """Step until `condition()`; returns the time it took.
+
+        Raises
+        ------
+        AssertionError
+            It did not come about within `limit`.
+        """
+        start = self.clock.elapsed
+        while not condition():
+            assert self.clock.elapsed - start <= limit, "the limit passed"
+            self.step()
+        return self.clock.elapsed - start
+
+    def agrees(self):
+        """Return whether every running host believes in exactly the running ones."""
+        live = self.live()
+        return all(
+            set(self.node_by_id[host_id].membership.members()) == live
+            for host_id in live
+        )
--- /dev/null
+++ b/features/membership.feature
@@ -0,0 +1,36 @@
+Feature: Hosts know who belongs to the fleet and tell each other facts
+  Time is virtual and the network is in memory.
+
+  Scenario: Merging facts is commutative, associative and idempotent and never goes back
+    Then any facts merged in any order give equal tables whose sequences never fall
+
+  Scenario: A fact is forgotten when its lifetime has passed, and not taken again
+    Then a fact is gone at all hosts after its lifetime
+
+  Scenario: A killed host is noticed within 3 seconds by 7 hosts
+    Given a fleet of 7 hosts that know each other
+    Then each of 20 kills is noticed by all others within 3 seconds
+
+  Scenario: A frozen host that resumes is a member again
+    Given a fleet of 7 hosts that know each other
+    When host "entry-3" freezes for 60 seconds and resumes
+    Then all hosts agree on the members within 10 seconds
+
+  Scenario: A data centre of 40 hosts in 4 leaves at once
+    Given a fleet of 40 hosts that know each other
+    When all hosts of data centre "dc-1" are killed
+    Then all hosts agree on the members within 15 seconds
+
+  Scenario: Regions that lose each other for five minutes come together without a storm
+    Given a fleet of 40 hosts that know each other
+    When the hosts of "dc-0" and "dc-1" are split from the others for 300 seconds
+    Then all hosts agree on the members within 30 seconds
+    And no host moves more than 4096 bytes a second in the first 30 seconds
+
+  Scenario: A host joins through one seed
+    Given a fleet of 7 hosts that know each other
+    When a host joins with the address of "entry-5" alone
+    Then all hosts agree on the members within 10 seconds
+
+  Scenario: Any mix of faults heals
+    Then after any mix of kills, freezes, splits and losses the hosts agree again
--- /dev/null
+++ b/src/peridothitch/adapters/thrift_peers.py
@@ -0,0 +1,222 @@
+"""Calls between entry hosts over framed thrift on TCP, with mutual TLS where set."""
+
+import collections
+import dataclasses
+import select
+import socket
+import ssl
+import threading
+import time
+
+from thrift import Thrift
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TSocket, TTransport
+
+from peridothitch import errors
+from peridothitch.adapters import thrift_server
+from peridothitch.adapters.generated.peer import PeerService, ttypes
+from peridothitch.ports import peer_transport
+
+__all__ = ["INTERFACE_VERSION", "ThriftTransport", "TlsFiles"]
+
+INTERFACE_VERSION = 1
+_MAX_AGE_SECONDS = 60.0
+_MAX_IDLE_SECONDS = 30.0
+_MAX_IDLE_CONNECTIONS = 48
+
+
+@dataclasses.dataclass(frozen=True)
+class TlsFiles:
+    """Files for mutual TLS between entry hosts.
+
+    Attributes
+    ----------
+    certificate : str
+        This host's certificate chain, PEM.
+    key : str
+        Its private key, PEM.
+    authority : str
+        Certificates that sign those of all hosts, PEM.
+    """
+
+    certificate: str
+    key: str
+    authority: str
+
+    def context(self, server_side):
+        """Return an `ssl.SSLContext` that requires a signed certificate of peers."""
+        protocol = ssl.PROTOCOL_TLS_SERVER if server_side else ssl.PROTOCOL_TLS_CLIENT
+        context = ssl.SSLContext(protocol)
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.load_cert_chain(self.certificate, self.key)
+        context.load_verify_locations(self.authority)
+        return context
+
+
+class _Link:
+    """One connection to a peer."""
+
+    def __init__(self, address, timeout_seconds, context):
+        host, _, port = address.rpartition(":")
+        raw = socket.create_connection((host, int(port)), timeout_seconds)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            self.raw = context.wrap_socket(raw) if context is not None else raw
+        except OSError:
+            raw.close()
+            raise
+        wire = TSocket.TSocket()
+        wire.setHandle(self.raw)
+        framed = TTransport.TFramedTransport(wire, thrift_server.MAX_FRAME_BYTES)
+        protocol = TBinaryProtocol.TBinaryProtocolAccelerated(framed)
+        self.client = PeerService.Client(protocol)
+        self.opened = self.used = time.monotonic()
+
+    def is_usable(self, now):
+        if now - self.opened > _MAX_AGE_SECONDS or now - self.used > _MAX_IDLE_SECONDS:
+            return False
+        poller = select.poll()
+        poller.register(self.raw, select.POLLIN)
+        return not poller.poll(0)
+
+    def close(self):
+        self.raw.close()
+
+
+class ThriftTransport(peer_transport.PeerTransport):
+    """Server and client of the peer interface.
+
+    Parameters
+    ----------
+    host_id : str
+    listen : str
+        IP number and port for peers; port 0 takes a free one.
+    metrics : peridothitch.adapters.metrics.Metrics
+    tls : TlsFiles or None
+    """
+
+    def __init__(self, host_id, listen, metrics, tls=None):
+        self._host_id = host_id
+        self._metrics = metrics
+        self._answer_by_method = {}
+        self._client_context = tls.context(False) if tls else None
+        processor = PeerService.Processor(_Answers(self._answer_by_method, metrics))
+        self._server = thrift_server.ThriftServer(
+            processor, listen, tls.context(True) if tls else None
+        )
+        self.address = self._server.address
+        self._lock = threading.Lock()
+        self._idle_by_address = collections.OrderedDict()
+
+    def register(self, method, answer):
+        """Answer calls of `method`."""
+        self._answer_by_method[method] = answer
+
+    def start(self):
+        """Answer calls in background threads."""
+        self._server.start()
+
+    def close(self):
+        """Stop answering and close all connections."""
+        self._server.close()
+        with self._lock:
+            links = list(self._idle_by_address.values())
+            self._idle_by_address.clear()
+        for link in links:
+            link.close()
+
+    def call(self, address, method, payload, timeout, fresh=False):
+        """Call the host at `address`."""
+        deadline = time.monotonic() + timeout.total_seconds()
+        link = None if fresh else self._take_idle(address)
+        try:
+            if link is None:
+                link = _Link(address, timeout.total_seconds(), self._client_context)
+        except (OSError, ValueError) as error:
+            raise errors.PeerError(f"connect to {address}: {error}", False) from None
+        try:
+            link.raw.settimeout(max(0.001, deadline - time.monotonic()))
+            reply = self._send(link, method, payload)
+        except ttypes.Refused as refusal:
+            self._give_back(address, link)
+            detail = f"{address} refused {method}: {refusal.detail}"
+            raise errors.PeerError(detail, True) from None
+        except (OSError, EOFError, Thrift.TException) as error:
+            link.close()
+            raise errors.PeerError(f"{method} at {address}: {error}", True) from None
+        self._give_back(address, link)
+        return reply
+
+    def _send(self, link, method, payload):
+        envelope = ttypes.Envelope(INTERFACE_VERSION, self._host_id, method, payload)
+        is_gossip = method.startswith(peer_transport.GOSSIP_PREFIX)
+        if is_gossip:
+            reply = link.client.gossip(envelope)
+        else:
+            reply = link.client.call(envelope)
+        plane = "gossip" if is_gossip else "call"
+        self._metrics.count("peer_calls_sent", plane=plane)
+        self._metrics.count(
+            "peer_payload_bytes", len(payload) + len(reply), plane=plane, side="client"
+        )
+        return reply
+
+    def _take_idle(self, address):
+        with self._lock:
+            link = self._idle_by_address.pop(address, None)
+        if link is None or link.is_usable(time.monotonic()):
+            return link
+        link.close()
+        return None
+
+    def _give_back(self, address, link):
+        link.used = time.monotonic()
+        with self._lock:
+            dropped = [self._idle_by_address.pop(address, None)]
+            self._idle_by_address[address] = link
+            if len(self._idle_by_address) > _MAX_IDLE_CONNECTIONS:
+                dropped.append(self._idle_by_address.popitem(last=False)[1])
+        for other in dropped:
+            if other is not None:
+                other.close()
+
+
+class _Answers:
+    """Handler of the generated processor."""
+
+    def __init__(self, answer_by_method, metrics):
+        self._answer_by_method = answer_by_method
+        self._metrics = metrics
+
+    def gossip(self, envelope):
+        return self._answer(envelope, "gossip")
+
+    def call(self, envelope):
+        return self._answer(envelope, "call")
+
+    def _answer(self, envelope, plane):
+        if envelope.version != INTERFACE_VERSION:
+            raise _refuse(f"version {envelope.version} is not {INTERFACE_VERSION}")
+        answer = self._answer_by_method.get(envelope.method)
+        if answer is None:
+            raise _refuse(f"unknown method {envelope.method}")
+        try:
+            reply = answer(envelope.payload)
+        except errors.CodedError as error:
+            raise ttypes.Refused(int(error.code), error.detail) from None
+        except Exception as error:
+            self._metrics.count("peer_answer_failures", method=envelope.method)
+            raise _refuse(type(error).__name__) from None
+        self._metrics.count("peer_calls_answered", plane=plane)
+        self._metrics.count(
+            "peer_payload_bytes",
+            len(envelope.payload) + len(reply),
+            plane=plane,
+            side="server",
+        )
+        return reply
+
+
+def _refuse(detail):
+    return ttypes.Refused(int(errors.Code.PEER_FAILED), detail)
--- a/src/peridothitch/cli/serve.py
+++ b/src/peridothitch/cli/serve.py
@@ -4,9 +4,15 @@
 
 import click
 
-from peridothitch.adapters import etcd_store, http_transport, system_clock
+from peridothitch import errors
+from peridothitch.adapters import (
+    etcd_store,
+    http_transport,
+    system_clock,
+    thrift_peers,
+)
 from peridothitch.cli import processes
-from peridothitch.gateway import host
+from peridothitch.gateway import host, peer_links
 
 __all__ = ["serve"]
 
@@ -20,6 +26,20 @@
     show_default=True,
     help="IP number and port for callers; port 0 takes a free one.",
 )
+@click.option(
+    "--peer-listen",
+    default="",
+    help="IP number and port for other entry hosts; empty for a fleet of one host.",
+)
+@click.option(
+    "--seed",
+    "seeds",
+    multiple=True,
+    help="Peer address of another entry host, to join while the store is down.",
+)
+@click.option("--peer-certificate", default="", help="PEM file for mutual TLS.")
+@click.option("--peer-key", default="", help="PEM file of its private key.")
+@click.option("--peer-authority", default="", help="PEM file of the peers' authority.")
 @click.option("--store", required=True, help="IP number and port of the store.")
 @click.option("--host-list", required=True, help="IP number and port of the list.")
 @click.option(
@@ -44,6 +64,11 @@
     host_id,
     data_centre,
     listen,
+    peer_listen,
+    seeds,
+    peer_certificate,
+    peer_key,
+    peer_authority,
     store,
     host_list,
     threads,
@@ -58,6 +83,11 @@
         threads=threads,
         max_body_bytes=max_body_bytes,
         drain_timeout=datetime.timedelta(seconds=drain_seconds),
+        fleet=peer_links.FleetSettings(
+            listen=peer_listen,
+            seeds=seeds,
+            tls=_tls_files(peer_certificate, peer_key, peer_authority),
+        ),
     )
     processes.block_stop_signals()
     entry_host = host.EntryHost(
@@ -70,3 +100,13 @@
     click.echo(f"listening on port {entry_host.port}")
     processes.wait_for_stop()
     entry_host.stop()
+
+
+def _tls_files(certificate, key, authority):
+    if not (certificate or key or authority):
+        return None
+    if not (certificate and key and authority):
+        raise errors.SettingsError(
+            ["--peer-certificate, --peer-key and --peer-authority go together"]
+        )
+    return thrift_peers.TlsFiles(certificate, key, authority)
--- /dev/null
+++ b/src/peridothitch/coordination/member_records.py
@@ -0,0 +1,86 @@
+"""What hosts tell each other about a member, and the timing of doing so."""
+
+import dataclasses
+import datetime
+import enum
+
+import msgspec
+
+from peridothitch.ports import facts
+
+__all__ = [
+    "MEMBER_KIND",
+    "MemberRecord",
+    "MembershipSettings",
+    "State",
+    "make_fact",
+    "split_sequence",
+]
+
+MEMBER_KIND = "member"
+"""Kind of the facts that are records of members."""
+
+_STATE_COUNT = 4
+
+
+class State(enum.IntEnum):
+    """What a record says of a member; of one incarnation the highest holds."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Where a member is."""
+
+    address: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MembershipSettings:
+    """Timing of the membership.
+
+    Attributes
+    ----------
+    period : datetime.timedelta
+        Between two probes: of the successor by hash and of a random member in turn.
+    probe_timeout : datetime.timedelta
+        Bound on one probe.
+    suspicion : datetime.timedelta
+        Least time in which a suspected member may refute; grows with the logarithm of
+        the fleet's size.
+    helpers : int
+        Members asked to probe one that did not answer.
+    fanout : int
+        Members that urgent facts are pushed to at once.
+    rejoin_period : datetime.timedelta
+        Between two attempts to reach a departed member or an unknown address.
+    sync_period : datetime.timedelta
+        Least time between two comparisons of all facts.
+    refresh_period : datetime.timedelta
+        Between two renewals of this host's record.
+    """
+
+    period: datetime.timedelta = datetime.timedelta(milliseconds=500)
+    probe_timeout: datetime.timedelta = datetime.timedelta(milliseconds=400)
+    suspicion: datetime.timedelta = datetime.timedelta(milliseconds=700)
+    helpers: int = 2
+    fanout: int = 3
+    rejoin_period: datetime.timedelta = datetime.timedelta(seconds=5)
+    sync_period: datetime.timedelta = datetime.timedelta(seconds=4)
+    refresh_period: datetime.timedelta = datetime.timedelta(minutes=30)
+
+
+def make_fact(host_id, incarnation, state, value):
+    """Return the fact that a member is in a state at an incarnation."""
+    sequence = incarnation * _STATE_COUNT + state
+    return facts.Fact(MEMBER_KIND, host_id, sequence, value)
+
+
+def split_sequence(sequence):
+    """Return incarnation and `State` of a record's sequence."""
+    incarnation, number = divmod(sequence, _STATE_COUNT)
+    return incarnation, State(number)
--- /dev/null
+++ b/src/peridothitch/coordination/membership.py
@@ -0,0 +1,391 @@
+"""Membership of the fleet by probes, suspicion and refutation (after SWIM).
+
+Every record of a member is a fact whose sequence is ``4 * incarnation + state``. So
+suspicion overrides liveness, death overrides suspicion, and a host that hears itself
+suspected refutes with a higher incarnation. Membership is a hint: it decides whom to
+ask, and never whether something may be done.
+"""
+
+import math
+import threading
+
+import logbook
+import msgspec
+import xxhash
+
+from peridothitch import errors
+from peridothitch.coordination import gossip as gossips
+from peridothitch.coordination import member_records as records
+from peridothitch.ports import peer_transport, peers
+
+__all__ = ["Membership"]
+
+_EXCHANGE = peer_transport.GOSSIP_PREFIX + "exchange"
+_PROBE = peer_transport.GOSSIP_PREFIX + "probe"
+_SYNC = peer_transport.GOSSIP_PREFIX + "sync"
+_MAX_JOIN_SYNCS = 64
+_RELAYS_PER_DATA_CENTRE = 2
+_log = logbook.Logger("peridothitch.membership")
+
+
+class Membership(peers.Peers):
+    """Members of the fleet as this host believes them to be.
+
+    Parameters
+    ----------
+    peer : peridothitch.ports.peers.Peer
+        This host.
+    transport : peridothitch.ports.peer_transport.PeerTransport
+    gossip : peridothitch.coordination.gossip.Gossip
+    clock : peridothitch.ports.clock.Clock
+    metrics : peridothitch.adapters.metrics.Metrics
+    random_source : random.Random
+    executor : concurrent.futures.Executor
+        Runs the few probes and pushes that go out at the same time.
+    settings : records.MembershipSettings
+    seeds : collection of str
+        Addresses to join through.
+    """
+
+    def __init__(
+        self,
+        peer,
+        transport,
+        gossip,
+        clock,
+        metrics,
+        *,
+        random_source,
+        executor,
+        settings=None,
+        seeds=(),
+    ):
+        self.host_id = peer.host_id
+        self._self = peer
+        self._transport = transport
+        self._gossip = gossip
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random_source
+        self._executor = executor
+        self._settings = settings or records.MembershipSettings()
+        self._lock = threading.RLock()
+        self._peer_by_id = {peer.host_id: peer}
+        self._deadline_by_suspect = {}
+        self._address_by_departed = {}
+        self._seeds = frozenset(seeds)
+        self._learned = frozenset()
+        self._incarnation = int(clock.now().timestamp())
+        self._leaving = False
+        self._ticks = 0
+        now = clock.monotonic()
+        self._last_tick = self._next_rejoin = self._next_sync = now
+        self._next_refresh = now + self._settings.refresh_period
+        self._differs_from = None
+        gossip.subscribe(records.MEMBER_KIND, self._take_record)
+        transport.register(_EXCHANGE, self._answer_exchange)
+        transport.register(_PROBE, self._answer_probe)
+        transport.register(_SYNC, gossip.answer_sync)
+        self._publish_self(records.State.ALIVE)
+
+    def members(self):
+        """Return the hosts believed live by id."""
+        with self._lock:
+            return dict(self._peer_by_id)
+
+    def register(self, method, answer):
+        """Answer calls of `method`."""
+        self._transport.register(method, answer)
+
+    def call(self, host_id, method, payload, timeout):
+        """Call another host."""
+        with self._lock:
+            peer = self._peer_by_id.get(host_id)
+        if peer is None:
+            raise errors.PeerError(f"{host_id} is not a member", sent=False)
+        return self._transport.call(peer.address, method, payload, timeout)
+
+    def learn(self, addresses):
+        """Replace the addresses, besides the seeds, that hosts may be reached at."""
+        self._learned = frozenset(addresses)
+
+    def relays(self, data_centre):
+        """Return ids of the members that watch the store for a data centre."""
+        local = [
+            host_id
+            for host_id, peer in self.members().items()
+            if peer.data_centre == data_centre
+        ]
+        return sorted(local, key=_position)[:_RELAYS_PER_DATA_CENTRE]
+
+    def is_relay(self):
+        """Return whether this host watches the store for its data centre."""
+        return self.host_id in self.relays(self._self.data_centre)
+
+    def is_alone(self):
+        """Return whether no other member is known."""
+        return len(self._peer_by_id) == 1
+
+    def leave(self):
+        """Tell the others that this host goes."""
+        with self._lock:
+            self._leaving = True
+        self._publish_self(records.State.LEFT)
+        self.push()
+
+    def run(self, stop):
+        """Probe until the event `stop` is set."""
+        while not self._clock.wait(stop, self._settings.period):
+            try:
+                self.tick()
+            except Exception:
+                self._metrics.count("membership_failures")
+                _log.exception("membership tick failed")
+
+    def tick(self):
+        """Run one protocol period."""
+        now = self._clock.monotonic()
+        self._forgive_after_pause(now)
+        self._gossip.expire()
+        self._bury_suspects(now)
+        if now >= self._next_refresh:
+            self._refresh(now)
+        if self.is_alone() or now >= self._next_rejoin:
+            self._rejoin(now)
+        target = self._next_target()
+        if target is not None:
+            self._check(target)
+        if self._differs_from is not None and now >= self._next_sync:
+            self._sync(now)
+        self._last_tick = now
+
+    def push(self):
+        """Send the waiting facts to a few members at once."""
+        others = self._live_others()
+        chosen = self._random.sample(others, min(self._settings.fanout, len(others)))
+        futures = [self._executor.submit(self._exchange, peer) for peer in chosen]
+        if self._leaving:
+            for future in futures:
+                future.result()
+
+    def _forgive_after_pause(self, now):
+        if now - self._last_tick <= 4 * self._settings.period:
+            return
+        with self._lock:
+            for host_id in self._deadline_by_suspect:
+                self._deadline_by_suspect[host_id] = now + self._suspicion()
+
+    def _suspicion(self):
+        growth = max(1.0, math.log2(len(self._peer_by_id) + 1) / 3)
+        return self._settings.suspicion * growth
+
+    def _bury_suspects(self, now):
+        with self._lock:
+            due = [
+                host_id
+                for host_id, deadline in self._deadline_by_suspect.items()
+                if deadline <= now
+            ]
+        for host_id in due:
+            self._declare(host_id, records.State.DEAD)
+
+    def _refresh(self, now):
+        with self._lock:
+            self._next_refresh = now + self._settings.refresh_period
+            self._incarnation += 1
+            known = self._gossip.facts(records.MEMBER_KIND)
+            for host_id in set(self._peer_by_id) - set(known) - {self.host_id}:
+                del self._peer_by_id[host_id]
+            for host_id in set(self._address_by_departed) - set(known):
+                del self._address_by_departed[host_id]
+        self._publish_self(records.State.ALIVE)
+
+    def _rejoin(self, now):
+        jitter = self._random.uniform(0.5, 1.5)
+        self._next_rejoin = now + self._settings.rejoin_period * jitter
+        with self._lock:
+            live = {peer.address for peer in self._peer_by_id.values()}
+            departed = set(self._address_by_departed.values())
+        candidates = sorted((self._seeds | self._learned | departed) - live)
+        if not candidates:
+            return
+        address = self._random.choice(candidates)
+        was_alone = self.is_alone()
+        if self._exchange_with(address) and was_alone:
+            for _ in range(_MAX_JOIN_SYNCS):
+                if self._sync_with(address):
+                    break
+
+    def _next_target(self):
+        self._ticks += 1
+        others = self._live_others()
+        if not others:
+            with self._lock:
+                others = [
+                    self._peer_by_id[host_id] for host_id in self._deadline_by_suspect
+                ]
+        if not others:
+            return None
+        if self._ticks % 2:
+            return self._random.choice(others)
+        mine = _position(self.host_id)
+        return min(
+            others, key=lambda peer: (_position(peer.host_id) - mine) % (1 << 64)
+        )
+
+    def _live_others(self):
+        with self._lock:
+            return [
+                peer
+                for host_id, peer in self._peer_by_id.items()
+                if host_id != self.host_id and host_id not in self._deadline_by_suspect
+            ]
+
+    def _check(self, peer):
+        if self._exchange(peer):
+            return
+        others = [
+            other for other in self._live_others() if other.host_id != peer.host_id
+        ]
+        helpers = self._random.sample(others, min(self._settings.helpers, len(others)))
+        futures = [self._executor.submit(self._exchange, peer, True)]
+        futures += [
+            self._executor.submit(self._probe_through, helper, peer)
+            for helper in helpers
+        ]
+        if not any([future.result() for future in futures]):
+            self._declare(peer.host_id, records.State.SUSPECT)
+
+    def _exchange(self, peer, fresh=False):
+        return self._exchange_with(peer.address, peer.host_id, fresh)
+
+    def _exchange_with(self, address, host_id=None, fresh=False):
+        first = [self._gossip.to_wire(records.MEMBER_KIND, self.host_id)]
+        about = self._gossip.to_wire(records.MEMBER_KIND, host_id) if host_id else None
+        if about is not None and not _is_alive(about):
+            first.append(about)
+        size = len(self._peer_by_id)
+        payload = self._gossip.make_exchange(size, first, self.host_id)
+        try:
+            reply = self._transport.call(
+                address, _EXCHANGE, payload, self._settings.probe_timeout, fresh
+            )
+            is_equal, _ = self._gossip.merge_exchange(reply)
+        except errors.PeerError:
+            self._metrics.count("probe_failures")
+            return False
+        self._differs_from = None if is_equal else address
+        return True
+
+    def _answer_exchange(self, payload):
+        _, sender = self._gossip.merge_exchange(payload)
+        first = []
+        about = self._gossip.to_wire(records.MEMBER_KIND, sender)
+        if about is not None and not _is_alive(about):
+            first.append(about)
+        return self._gossip.make_exchange(len(self._peer_by_id), first)
+
+    def _probe_through(self, helper, peer):
+        payload = peer.host_id.encode()
+        timeout = 2 * self._settings.probe_timeout
+        try:
+            self._transport.call(helper.address, _PROBE, payload, timeout)
+        except errors.PeerError:
+            return False
+        return True
+
+    def _answer_probe(self, payload):
+        with self._lock:
+            peer = self._peer_by_id.get(payload.decode(errors="replace"))
+        if peer is None or not self._exchange(peer):
+            raise errors.PeerError("no answer", sent=True)
+        return b""
+
+    def _sync(self, now):
+        jitter = self._random.uniform(0.5, 1.5)
+        self._next_sync = now + self._settings.sync_period * jitter
+        self._sync_with(self._differs_from)
+
+    def _sync_with(self, address):
+        timeout = self._settings.probe_timeout
+        try:
+            request = self._gossip.make_sync(self._random.randrange(1 << 16))
+            reply = self._transport.call(address, _SYNC, request, timeout)
+            missing = self._gossip.merge_sync(reply)
+            if missing is not None:
+                self._transport.call(address, _EXCHANGE, missing, timeout)
+        except errors.PeerError:
+            return True
+        self._metrics.count("syncs")
+        return missing is None and reply == gossips.EMPTY_SYNC_REPLY
+
+    def _declare(self, host_id, state):
+        record = self._gossip.get(records.MEMBER_KIND, host_id)
+        if record is None:
+            return
+        incarnation, known = records.split_sequence(record.sequence)
+        if known >= state:
+            return
+        self._gossip.publish(
+            records.make_fact(host_id, incarnation, state, record.value)
+        )
+
+    def _publish_self(self, state):
+        record = records.MemberRecord(self._self.address, self._self.data_centre)
+        value = msgspec.msgpack.encode(record)
+        self._gossip.publish(
+            records.make_fact(self.host_id, self._incarnation, state, value)
+        )
+
+    def _take_record(self, fact):
+        incarnation, state = records.split_sequence(fact.sequence)
+        if fact.key == self.host_id:
+            self._refute(incarnation, state)
+            return
+        try:
+            record = gossips.decode(fact.value, records.MemberRecord)
+        except errors.PeerError:
+            self._metrics.count("malformed_member_records")
+            return
+        with self._lock:
+            # A later record may have come in between; the table holds the newest.
+            if self._gossip.get(records.MEMBER_KIND, fact.key) != fact:
+                return
+            was_known = fact.key in self._peer_by_id
+            if state in (records.State.ALIVE, records.State.SUSPECT):
+                self._peer_by_id[fact.key] = peers.Peer(
+                    host_id=fact.key,
+                    address=record.address,
+                    data_centre=record.data_centre,
+                )
+                self._address_by_departed.pop(fact.key, None)
+            else:
+                self._peer_by_id.pop(fact.key, None)
+                self._address_by_departed[fact.key] = record.address
+            if state is records.State.SUSPECT:
+                deadline = self._clock.monotonic() + self._suspicion()
+                self._deadline_by_suspect.setdefault(fact.key, deadline)
+            else:
+                self._deadline_by_suspect.pop(fact.key, None)
+            is_known = fact.key in self._peer_by_id
+            count = len(self._peer_by_id)
+        self._metrics.set("members", count)
+        if was_known != is_known:
+            _log.info("member {} is {}", fact.key, state.name.lower())
+
+    def _refute(self, incarnation, state):
+        with self._lock:
+            known = (self._incarnation, records.State.ALIVE)
+            if self._leaving or (incarnation, state) <= known:
+                return
+            self._incarnation = incarnation + 1
+        self._metrics.count("refutations")
+        self._publish_self(records.State.ALIVE)
+
+
+def _is_alive(wire_fact):
+    return records.split_sequence(wire_fact.sequence)[1] is records.State.ALIVE
+
+
+def _position(host_id):
+    return xxhash.xxh64_intdigest(host_id.encode())
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -13,7 +13,7 @@
     wsgi_front,
 )
 from peridothitch.coordination import claims, documents
-from peridothitch.gateway import admission, handler, upstreams, versions
+from peridothitch.gateway import admission, handler, peer_links, upstreams, versions
 
 __all__ = ["EntryHost", "HostSettings"]
 
@@ -38,6 +38,8 @@
         Largest body accepted from a caller.
     drain_timeout : datetime.timedelta
         Longest wait for requests in progress at shutdown.
+    fleet : peridothitch.gateway.peer_links.FleetSettings
+        How this host and its peers reach each other.
     """
 
     host_id: str
@@ -46,6 +48,7 @@
     threads: int = 256
     max_body_bytes: int = 8 << 20
     drain_timeout: datetime.timedelta = datetime.timedelta(seconds=25)
+    fleet: peer_links.FleetSettings = peer_links.FleetSettings()
 
 
 class EntryHost:
@@ -65,6 +68,14 @@
         self._stop = threading.Event()
         self.metrics = metrics.Metrics()
         self._tracer = traces.Tracer(settings.host_id, exporter)
+        self.fleet = peer_links.link(
+            settings.host_id,
+            settings.data_centre,
+            settings.fleet,
+            service,
+            clock,
+            self.metrics,
+        )
         document_store = documents.DocumentStore(service, document_file.YamlCodec())
         self.feed = documents.DocumentFeed(document_store, clock, self.metrics)
         self._view = upstreams.UpstreamView(host_list, clock, self.metrics)
@@ -97,7 +108,8 @@
         return self._server.port
 
     def start(self):
-        """Read configuration and host list once, then serve."""
+        """Join the fleet, read configuration and host list once, then serve."""
+        self.fleet.start(self._background, self._stop)
         self.feed.refresh()
         self._view.refresh()
         self._background.submit(self.feed.run, self._stop, _DOCUMENT_INTERVAL)
@@ -113,8 +125,10 @@
             Whether all requests ended within the drain timeout.
         """
         drained = self._handler.drain(self._settings.drain_timeout)
+        self.fleet.leave()
         self._stop.set()
         self._server.close()
         self._background.shutdown()
+        self.fleet.close()
         self._tracer.close()
         return drained
--- /dev/null
+++ b/src/peridothitch/gateway/peer_links.py
@@ -0,0 +1,142 @@
+"""Wires an entry host to its peers: transport, gossip, membership and their threads."""
+
+import concurrent.futures
+import dataclasses
+import datetime
+import random
+
+from peridothitch.adapters import thrift_peers
+from peridothitch.coordination import gossip, member_keys, membership, solo
+from peridothitch.ports import peers
+
+__all__ = ["FleetLink", "FleetSettings", "SoloLink", "link"]
+
+_EXECUTOR_THREADS = 8
+_PUSH_INTERVAL = datetime.timedelta(milliseconds=250)
+_URGENT_KINDS = ("condemned", "quarantine", "revision")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetSettings:
+    """Settings for the calls between entry hosts.
+
+    Attributes
+    ----------
+    listen : str
+        IP number and port for peers; empty for a fleet of one host.
+    seeds : tuple of str
+        Addresses of other hosts to join through while the store is down.
+    tls : peridothitch.adapters.thrift_peers.TlsFiles or None
+    """
+
+    listen: str = ""
+    seeds: tuple = ()
+    tls: thrift_peers.TlsFiles | None = None
+
+
+class SoloLink:
+    """A fleet of one host.
+
+    Attributes
+    ----------
+    peers : peridothitch.ports.peers.Peers
+    facts : peridothitch.ports.facts.FactBoard
+    """
+
+    def __init__(self, host_id, data_centre):
+        peer = peers.Peer(host_id=host_id, address="", data_centre=data_centre)
+        self.peers = solo.SoloPeers(peer)
+        self.facts = solo.LocalFactBoard()
+
+    def start(self, pool, stop):
+        """Start nothing."""
+
+    def leave(self):
+        """Tell nobody."""
+
+    def close(self):
+        """Close nothing."""
+
+
+class FleetLink:
+    """Link of one host to its peers.
+
+    Parameters
+    ----------
+    host_id : str
+    data_centre : str
+    settings : FleetSettings
+    service : peridothitch.ports.store.Store
+    clock : peridothitch.ports.clock.Clock
+    metrics : peridothitch.adapters.metrics.Metrics
+
+    Attributes
+    ----------
+    peers : peridothitch.coordination.membership.Membership
+    facts : peridothitch.coordination.gossip.Gossip
+    """
+
+    def __init__(self, host_id, data_centre, settings, service, clock, metrics):
+        self._clock = clock
+        self._transport = thrift_peers.ThriftTransport(
+            host_id, settings.listen, metrics, settings.tls
+        )
+        peer = peers.Peer(
+            host_id=host_id, address=self._transport.address, data_centre=data_centre
+        )
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            _EXECUTOR_THREADS, thread_name_prefix="peer-probe"
+        )
+        self.facts = gossip.Gossip(clock, metrics, urgent_kinds=_URGENT_KINDS)
+        random_source = random.SystemRandom()
+        self.peers = membership.Membership(
+            peer,
+            self._transport,
+            self.facts,
+            clock,
+            metrics,
+            random_source=random_source,
+            executor=self._executor,
+            seeds=settings.seeds,
+        )
+        self._keys = member_keys.MemberKeys(
+            service, peer, self.peers, clock, metrics, random_source
+        )
+
+    @property
+    def address(self):
+        """IP number and port that peers connect to."""
+        return self._transport.address
+
+    def start(self, pool, stop):
+        """Join the fleet; the parts run in `pool` until the event `stop` is set."""
+        self._transport.start()
+        self._keys.refresh()
+        self.peers.tick()
+        pool.submit(self.peers.run, stop)
+        pool.submit(self._keys.run, stop)
+        pool.submit(self._push_urgent, stop)
+
+    def leave(self):
+        """Tell the others that this host goes."""
+        self.peers.leave()
+
+    def close(self):
+        """Close all connections."""
+        self._transport.close()
+        self._executor.shutdown()
+
+    def _push_urgent(self, stop):
+        while not stop.is_set():
+            if not self._clock.wait(self.facts.urgent, _PUSH_INTERVAL):
+                continue
+            self.facts.urgent.clear()
+            self.peers.push()
+            self._clock.wait(stop, _PUSH_INTERVAL)
+
+
+def link(host_id, data_centre, settings, service, clock, metrics):
+    """Return the link that `settings` ask for."""
+    if not settings.listen:
+        return SoloLink(host_id, data_centre)
+    return FleetLink(host_id, data_centre, settings, service, clock, metrics)
