--- /dev/null
+++ b/src/peridothitch/coordination/holdings.py
@@ -0,0 +1,214 @@
+"""What a host holds of spending budgets, by budget."""
+
+import dataclasses
+import datetime
+import threading
+
+import msgspec
+
+from peridothitch.coordination import slices
+from peridothitch.policy import spending
+
+__all__ = ["Allotment", "Holding", "Holdings", "Standing", "budget_name"]
+
+SLICE_TIME = datetime.timedelta(seconds=10)
+"""Time that one slice should last."""
+
+_RATE_WEIGHT = 0.3
+
+
+class Allotment(msgspec.Struct, frozen=True, kw_only=True):
+    """A limit in one period, as hosts name it to each other.
+
+    Attributes
+    ----------
+    limit_name : str
+        Name in the document.
+    start, end : datetime.datetime
+        The period.
+    limit_micros : int
+        Most to be spent in the period.
+    revision : int
+        Revision of the document.
+    """
+
+    limit_name: str
+    start: datetime.datetime
+    end: datetime.datetime
+    limit_micros: int
+    revision: int
+
+
+def budget_name(allotment):
+    """Return the name of the ledger's budget for an `Allotment`."""
+    period = spending.Period(allotment.start, allotment.end)
+    return f"{allotment.limit_name}:{period.name}".replace("/", ":")
+
+
+class Holding:
+    """Account of one budget with what its refills need; guarded by its `lock`.
+
+    Parameters
+    ----------
+    allotment : Allotment
+    now : datetime.timedelta
+        Monotonic time.
+    """
+
+    def __init__(self, allotment, now):
+        self.lock = threading.Lock()
+        self.refilling = threading.Lock()
+        self.account = spending.Account(allotment.limit_micros)
+        self.last_used = now
+        self._rate_per_second = 0.0
+        self._counted_since = now
+        self._counted = 0
+        self._lowered_revision = 0
+        self._set(allotment)
+
+    def _set(self, allotment):
+        self.allotment = allotment
+        self.account.limit_micros = allotment.limit_micros
+        self.budget = slices.Budget(
+            name=budget_name(allotment),
+            limit_micros=allotment.limit_micros,
+            revision=allotment.revision,
+        )
+
+    def follow(self, allotment):
+        """Take over the limit of a newer document.
+
+        Returns
+        -------
+        int
+            Micros taken out of the account because the limit was lowered: the sum of
+            what was granted may exceed it, so they have to go back to the ledger.
+        """
+        with self.lock:
+            if allotment.revision <= self.allotment.revision:
+                return 0
+            lowered = allotment.limit_micros < self.account.limit_micros
+            self._set(allotment)
+            if not lowered:
+                return 0
+            self._lowered_revision = allotment.revision
+            return self.account.withdraw(self.account.available)
+
+    def reserve(self, amount):
+        """Set `amount` aside; returns whether enough was available."""
+        with self.lock:
+            return self.account.reserve(amount)
+
+    def deposit(self, amount, revision):
+        """Add a slice that was asked for at `revision`.
+
+        Returns
+        -------
+        int
+            What could not be added because the limit was lowered since.
+        """
+        with self.lock:
+            if revision < self._lowered_revision:
+                return amount
+            self.account.deposit(amount)
+            return 0
+
+    def settle(self, reserved, actual, revision):
+        """Settle a reservation that was made at `revision`.
+
+        Returns
+        -------
+        tuple of (int, int)
+            What was charged, and what has to go back to the ledger because the limit
+            was lowered since.
+        """
+        with self.lock:
+            charged = self.account.settle(reserved, actual)
+            if revision >= self._lowered_revision:
+                return charged, 0
+            return charged, self.account.withdraw(reserved - charged)
+
+    def withdraw(self, size):
+        """Take ``size(available)`` micros out; returns what was taken."""
+        with self.lock:
+            return self.account.withdraw(size(self.account.available))
+
+    def count(self, amount, now):
+        """Update the rate at which the budget is asked for."""
+        with self.lock:
+            self.last_used = now
+            self._counted += amount
+            elapsed = now - self._counted_since
+            if elapsed < SLICE_TIME / 4:
+                return
+            rate = self._counted / elapsed.total_seconds()
+            self._rate_per_second += _RATE_WEIGHT * (rate - self._rate_per_second)
+            self._counted = 0
+            self._counted_since = now
+
+    def wanted(self):
+        """Return the amount for the time until the next slice, in micros."""
+        return int(self._rate_per_second * SLICE_TIME.total_seconds())
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Standing:
+    """What a host holds of one budget, in micros."""
+
+    limit_name: str
+    period: spending.Period
+    limit_micros: int
+    available: int
+    reserved: int
+    spent: int
+
+
+class Holdings:
+    """The holdings of one host.
+
+    Parameters
+    ----------
+    clock : peridothitch.ports.clock.Clock
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._holding_by_name = {}
+
+    def by_name(self):
+        """Return the holdings by the names of their budgets."""
+        with self._lock:
+            return dict(self._holding_by_name)
+
+    def find(self, allotment):
+        """Return the `Holding` for an `Allotment`; a new one is empty."""
+        name = budget_name(allotment)
+        with self._lock:
+            holding = self._holding_by_name.get(name)
+            if holding is None:
+                holding = Holding(allotment, self._clock.monotonic())
+                self._holding_by_name[name] = holding
+            return holding
+
+    def drop_ended(self):
+        """Forget budgets whose period has ended and that nothing is reserved from."""
+        now = self._clock.now()
+        with self._lock:
+            for name, holding in list(self._holding_by_name.items()):
+                if holding.allotment.end <= now and not holding.account.reserved:
+                    del self._holding_by_name[name]
+
+    def standings(self):
+        """Return a `Standing` for each budget, by its name."""
+        return {
+            name: Standing(
+                limit_name=holding.allotment.limit_name,
+                period=spending.Period(holding.allotment.start, holding.allotment.end),
+                limit_micros=holding.account.limit_micros,
+                available=holding.account.available,
+                reserved=holding.account.reserved,
+                spent=holding.account.spent,
+            )
+            for name, holding in self.by_name().items()
+        }
--- /dev/null
+++ b/src/peridothitch/coordination/spending.py
@@ -0,0 +1,185 @@
+"""Spending limits at one host: reserves before a request runs, settles after it."""
+
+import dataclasses
+import datetime
+
+from peridothitch import errors
+from peridothitch.coordination import holdings, slice_source
+from peridothitch.policy import spending
+
+__all__ = ["Charge", "Reservation", "SpendingBook"]
+
+IDLE_TIME = datetime.timedelta(seconds=30)
+"""Slices that were not used for this long are given back."""
+
+RETRY_AFTER_STORE_FAILURE = datetime.timedelta(seconds=2)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Charge:
+    """One limit that a request counts against.
+
+    Attributes
+    ----------
+    limit_name : str
+        Name in the document.
+    limit_micros : int
+        Most to be spent in the period.
+    revision : int
+        Revision of the document.
+    period : peridothitch.policy.spending.Period
+    amount : int
+        Worst case, micros.
+    """
+
+    limit_name: str
+    limit_micros: int
+    revision: int
+    period: spending.Period
+    amount: int
+
+    def to_allotment(self):
+        """Return the `peridothitch.coordination.holdings.Allotment`."""
+        return holdings.Allotment(
+            limit_name=self.limit_name,
+            start=self.period.start,
+            end=self.period.end,
+            limit_micros=self.limit_micros,
+            revision=self.revision,
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Reservation:
+    """Amounts set aside for one request.
+
+    Attributes
+    ----------
+    charges : tuple of Charge
+    """
+
+    charges: tuple
+
+
+class SpendingBook:
+    """Reserves and settles against slices; safe for use by many threads.
+
+    Parameters
+    ----------
+    ledger : peridothitch.coordination.slices.SliceLedger
+    peers : peridothitch.ports.peers.Peers
+    clock : peridothitch.ports.clock.Clock
+    metrics : peridothitch.adapters.metrics.Metrics
+    """
+
+    def __init__(self, ledger, peers, clock, metrics):
+        self._clock = clock
+        self._metrics = metrics
+        self._holdings = holdings.Holdings(clock)
+        self._source = slice_source.SliceSource(
+            self._holdings, ledger, peers, clock, metrics
+        )
+
+    def reserve(self, charges):
+        """Set the worst case aside for each limit, or for none.
+
+        Parameters
+        ----------
+        charges : sequence of Charge
+
+        Returns
+        -------
+        Reservation
+
+        Raises
+        ------
+        peridothitch.errors.RequestError
+            A limit is reached, or the store can't confirm that it is not.
+        """
+        reserved = []
+        try:
+            for charge in charges:
+                self._reserve_one(charge)
+                reserved.append(charge)
+        except errors.RequestError:
+            self.settle(Reservation(tuple(reserved)), lambda charge: 0)
+            raise
+        return Reservation(tuple(reserved))
+
+    def settle(self, reservation, cost):
+        """Replace a reservation by what the request cost.
+
+        Parameters
+        ----------
+        reservation : Reservation
+        cost : callable
+            Returns the cost in micros for a `Charge`.
+
+        Returns
+        -------
+        int
+            Micros charged, the largest of all limits.
+        """
+        charged_most = 0
+        for charge in reservation.charges:
+            holding = self._holdings.find(charge.to_allotment())
+            charged, surplus = holding.settle(
+                charge.amount, cost(charge), charge.revision
+            )
+            self._source.return_to_ledger(holding, surplus)
+            self._metrics.count("spent_micros", charged, limit=charge.limit_name)
+            charged_most = max(charged_most, charged)
+        return charged_most
+
+    def standings(self):
+        """Return what this host holds, a `Standing` by budget name."""
+        return self._holdings.standings()
+
+    def tidy(self):
+        """Give back slices that are idle; forget periods that have ended."""
+        self._holdings.drop_ended()
+        oldest = self._clock.monotonic() - IDLE_TIME
+        for holding in self._holdings.by_name().values():
+            if holding.last_used <= oldest:
+                self._source.give_back(holding)
+
+    def close(self):
+        """Give back everything that is not reserved."""
+        for holding in self._holdings.by_name().values():
+            self._source.give_back(holding)
+
+    def run(self, stop, interval):
+        """Tidy every `interval` until the event `stop` is set."""
+        while not self._clock.wait(stop, interval):
+            self.tidy()
+
+    def _reserve_one(self, charge):
+        allotment = charge.to_allotment()
+        holding = self._holdings.find(allotment)
+        self._source.follow(holding, allotment)
+        holding.count(charge.amount, self._clock.monotonic())
+        if holding.reserve(charge.amount):
+            return
+        with holding.refilling:
+            if holding.reserve(charge.amount):
+                return
+            self._refill(holding, charge)
+            if holding.reserve(charge.amount):
+                return
+        self._metrics.count("limits_reached", limit=charge.limit_name)
+        raise errors.RequestError(
+            errors.Code.LIMIT_REACHED,
+            f"limit {charge.limit_name} renews at {charge.period.end.isoformat()}",
+            retry_after=charge.period.end - self._clock.now(),
+        )
+
+    def _refill(self, holding, charge):
+        try:
+            self._source.refill(holding, charge.amount)
+        except errors.StoreError as error:
+            self._metrics.count("limits_unconfirmed", limit=charge.limit_name)
+            raise errors.RequestError(
+                errors.Code.LIMIT_UNCONFIRMED,
+                error.detail,
+                retry_after=RETRY_AFTER_STORE_FAILURE,
+            ) from None
--- a/src/peridothitch/errors.py
+++ b/src/peridothitch/errors.py
@@ -44,6 +44,7 @@
     OVERLOADED = 2001
     LIMIT_REACHED = 2002
     DRAINING = 2003
+    LIMIT_UNCONFIRMED = 2004
     NO_UPSTREAM = 3001
     UPSTREAM_REFUSED = 3002
     OUTCOME_UNKNOWN = 3003
@@ -87,6 +88,7 @@
     Code.OVERLOADED: (503, "The request was shed before it ran."),
     Code.LIMIT_REACHED: (429, "The customer's spending limit is reached."),
     Code.DRAINING: (503, "The entry host is shutting down."),
+    Code.LIMIT_UNCONFIRMED: (503, "The spending limit could not be confirmed."),
     Code.NO_UPSTREAM: (503, "No upstream is available for the route."),
     Code.UPSTREAM_REFUSED: (502, "Upstreams refused the request before running it."),
     Code.OUTCOME_UNKNOWN: (502, "The request may have run; it was not retried."),
