--- a/src/peridothitch/coordination/slice_source.py
+++ b/src/peridothitch/coordination/slice_source.py
@@ -39,7 +39,7 @@
     """Return the host that hands out a budget's slices, by rendezvous hashing."""
 
     def score(host_id):
-        return xxhash.xxh64_intdigest(f"{budget_name}|{host_id}")
+        return xxhash.xxh64_intdigest(f"{budget_name}|{host_id}".encode())
 
     return max(host_ids, key=score)
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -6,7 +6,6 @@
 
 import concurrent.futures
 import json
-import os
 import pathlib
 import subprocess
 import sys
@@ -17,6 +16,7 @@
 KNOWN_RED_MARK = "scenario: "
 WORKERS = 4
 TIMEOUT_SECONDS = 1500
+MAX_OUTPUT_CHARACTERS = 6000
 
 
 def _known_red():
@@ -35,7 +35,7 @@
         report = pathlib.Path(folder) / "report.json"
         command = [sys.executable, "-m", "behave", str(path)]
         command += ["--format", "json", "--outfile", str(report), "--no-color"]
-        command += ["--format", "progress", "--outfile", os.devnull]
+        command += ["--format", "plain", "--outfile", "/dev/stdout"]
         done = subprocess.run(
             command,
             cwd=ROOT,
@@ -81,7 +81,7 @@
             found = list(_scenarios(path, features))
             if not found or (done.returncode and not _any_failed(found)):
                 failed.append(f"{path.name}: did not run")
-                print(done.stdout[-4000:], done.stderr[-4000:])
+                print(done.stdout[-MAX_OUTPUT_CHARACTERS:], done.stderr[-4000:])
             for name, element in found:
                 if element["status"] == "passed":
                     passed += 1
@@ -90,6 +90,7 @@
                 else:
                     failed.append(name)
                     print(f"FAILED {name}\n{_failure_text(element)}")
+                    print(done.stdout[-MAX_OUTPUT_CHARACTERS:])
             print(f"{path.relative_to(ROOT)}: {len(found)} scenarios", flush=True)
     for name in red:
         print(f"known red: {name}")
