Reserve a request's worst case from slices before it runs

Limits are kept by construction: the ledger in the store never grants more than the limit, a host spends only what it was granted, a lowered limit calls slices back. Ruled out: a shared counter (a store write per request), interval tickets (a lowered limit would still be passed by what was spent above it before). Left: non-streamed answers settle without their completion tokens.

--- a/features/spending.feature
+++ b/features/spending.feature
@@ -34,6 +34,21 @@
     When each host holds a slice and the limit is lowered to what is already spent
     Then no host that knows the new limit can reserve 1 micros
 
+  Scenario: What is left of older reservations is not spent under a lowered limit
+    Given a spending fleet of 3 hosts with a limit of 900 micros an hour
+    When each host reserves 300 micros, the limit falls to 100 and nothing was used
+    Then the hosts can reserve no more than 100 micros in all
+
+  Scenario: A host with an older document follows the limit that the ledger knows
+    Given a spending fleet of 3 hosts with a limit of 900 micros an hour
+    When one host learns that the limit falls to 100 and reserves 100 micros
+    Then a reservation of 300 micros at each host is refused with the code 2002
+
+  Scenario: A slice given back to its owner with a lost reply is not given back twice
+    Given a spending fleet of 3 hosts with a limit of 900 micros an hour
+    When each host holds an unused slice and gives it back while replies are lost
+    Then the ledger's grants cover everything that the hosts hold
+
   Scenario: A stopped host gives its slices back
     Given a spending fleet of 3 hosts with a limit of 900 micros an hour
     When each host reserves and settles 10 micros until it is refused
@@ -45,3 +60,9 @@
 
   Scenario: Every fault at every step of a reservation keeps the limit
     Then every spending fault at every spending step keeps the limit
+
+  Scenario: The real entry host refuses a chat request whose worst case exceeds the limit
+    Given an embedded system whose customer may spend 0.10 a day at 1 per 1000 tokens
+    When the customer asks for answers of 20 tokens until one is refused
+    Then the refusal has code 2002, ran "no" and a Retry-After
+    And the spending settled is at least 0.05 and at most 0.10
--- a/features/steps/spending_steps.py
+++ b/features/steps/spending_steps.py
@@ -3,11 +3,13 @@
 
 import behave
 import hypothesis
+import processes
 import spending_fleet
 from hypothesis import strategies
 
 from peridothitch import errors
 from peridothitch.coordination import holdings, slices
+from peridothitch.gateway import embedded
 from peridothitch.policy import spending as spending_policy
 from peridothitch.standins import faulty_store
 
@@ -181,6 +183,50 @@
         assert found is errors.Code.LIMIT_REACHED, found
 
 
+@behave.when(
+    "each host reserves {amount:d} micros, the limit falls to {limit:d} "
+    "and nothing was used"
+)
+def lower_under_reservations(context, amount, limit):
+    fleet = context.fleet
+    for host in fleet.host_by_id.values():
+        assert fleet.reserve(host, amount) is None
+    _lower(fleet, limit)
+    for host in fleet.host_by_id.values():
+        fleet.reserve(host, 1)
+        fleet.settle(host, 0)
+
+
+@behave.then("the hosts can reserve no more than {amount:d} micros in all")
+def check_reservable(context, amount):
+    fleet = context.fleet
+    for host in fleet.host_by_id.values():
+        while fleet.reserve(host, 10) is None:
+            assert fleet.committed(context.period) <= amount
+
+
+@behave.when(
+    "one host learns that the limit falls to {limit:d} and reserves {amount:d} micros"
+)
+def lower_at_one_host(context, limit, amount):
+    fleet = context.fleet
+    fleet.limit_by_revision[2] = limit
+    host = fleet.host_by_id["entry-0"]
+    host.revision = 2
+    assert fleet.reserve(host, amount) is None
+
+
+@behave.when("each host holds an unused slice and gives it back while replies are lost")
+def give_back_without_replies(context):
+    fleet = context.fleet
+    for host in fleet.host_by_id.values():
+        assert fleet.reserve(host, 200) is None
+        fleet.settle(host, 0)
+    fleet.lose_replies = True
+    for host in fleet.host_by_id.values():
+        host.book.close()
+
+
 @behave.when("every spending host stops")
 def stop_hosts(context):
     for host in context.fleet.host_by_id.values():
@@ -372,3 +418,44 @@
                 history.apply("reserve", number, 40)
         cells += 1
     assert cells == len(pairs), cells
+
+
+@behave.given(
+    "an embedded system whose customer may spend {amount} a day "
+    "at {price} per 1000 tokens"
+)
+def start_embedded(context, amount, price):
+    limit = (
+        f"{{customer: example, amount: '{amount}', price_per_1000_tokens: '{price}'}}"
+    )
+    text = embedded.EXAMPLE_DOCUMENT.replace(
+        "spending: {}", f"spending: {{daily: {limit}}}"
+    )
+    context.system = embedded.EmbeddedSystem(text)
+    context.system.start()
+    context.add_cleanup(context.system.stop)
+
+
+@behave.when("the customer asks for answers of {count:d} tokens until one is refused")
+def ask_until_refused(context, count):
+    body = {"messages": [{"role": "user", "content": "Hi"}], "max_tokens": count}
+    for _ in range(MANY):
+        context.answer = processes.ask(
+            f"127.0.0.1:{context.system.port}", "POST", "/v1/chat/completions", body
+        )
+        if context.answer.status != 200:
+            return
+
+
+@behave.then('the refusal has code {code:d}, ran "{ran}" and a Retry-After')
+def check_refusal(context, code, ran):
+    problem = context.answer.json()
+    assert (problem["code"], problem["ran"]) == (code, ran), problem
+    assert int(context.answer.header_by_name["retry-after"]) > 0
+
+
+@behave.then("the spending settled is at least {low:f} and at most {high:f}")
+def check_settled(context, low, high):
+    standings = context.system.entry_host.book.standings().values()
+    spent = sum(standing.spent for standing in standings) / 1_000_000
+    assert low <= spent <= high, spent
--- a/src/peridothitch/gateway/admission.py
+++ b/src/peridothitch/gateway/admission.py
@@ -2,8 +2,17 @@
 
 import contextlib
 import dataclasses
+import functools
 
-__all__ = ["Admission", "Usage"]
+from peridothitch import errors
+from peridothitch.coordination import spending
+from peridothitch.policy import spending as prices
+from peridothitch.ports import outcomes
+
+__all__ = ["Admission", "SpendingGate", "Usage"]
+
+CHARACTERS_PER_TOKEN = 4
+"""Characters of a prompt that make one token on average."""
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -12,15 +21,15 @@
 
     Attributes
     ----------
+    ran : bool
+        Whether an upstream executed it, or may have.
     prompt_tokens, completion_tokens : int
         Tokens that the customer pays for.
-    recomputed_tokens : int
-        Tokens computed again after a failure; the system pays for them.
     """
 
+    ran: bool = False
     prompt_tokens: int = 0
     completion_tokens: int = 0
-    recomputed_tokens: int = 0
 
 
 class Admission:
@@ -45,3 +54,81 @@
             The request is shed or a limit is reached; it did not run.
         """
         yield Usage()
+
+
+def _prompt_characters(job):
+    if job.chat is None:
+        return 0
+    return sum(len(str(message)) for message in job.chat["messages"])
+
+
+def _charges_for(job, now):
+    """Return the charges for a request's worst case, one for each limit."""
+    characters = _prompt_characters(job)
+    tokens = job.max_tokens if job.chat is not None else 0
+    charges = []
+    for name, limit in job.document.limit_by_name.items():
+        if limit.customer != job.customer:
+            continue
+        charges.append(
+            spending.Charge(
+                limit_name=name,
+                limit_micros=prices.to_micros(limit.amount),
+                revision=job.document.revision,
+                period=prices.find_period(now, limit.period),
+                amount=prices.worst_case_cost(limit, characters, tokens),
+            )
+        )
+    return charges
+
+
+class SpendingGate(Admission, outcomes.AttemptObserver):
+    """Admits requests whose worst case fits into the customer's limits.
+
+    Parameters
+    ----------
+    book : peridothitch.coordination.spending.SpendingBook
+    clock : peridothitch.ports.clock.Clock
+    metrics : peridothitch.adapters.metrics.Metrics
+    """
+
+    def __init__(self, book, clock, metrics):
+        self._book = book
+        self._clock = clock
+        self._metrics = metrics
+        self._usage_by_request_id = {}
+
+    @contextlib.contextmanager
+    def admit(self, job):
+        """Reserve the worst case while the context is open, then settle."""
+        reservation = self._book.reserve(_charges_for(job, self._clock.now()))
+        usage = Usage(prompt_tokens=_prompt_characters(job) // CHARACTERS_PER_TOKEN)
+        self._usage_by_request_id[job.request_id] = usage
+        try:
+            yield usage
+        finally:
+            del self._usage_by_request_id[job.request_id]
+            self._settle(job, reservation, usage)
+
+    def observe(self, outcome):
+        """Count the tokens of an attempt; what did not run is free."""
+        usage = self._usage_by_request_id.get(outcome.request_id)
+        if usage is None or outcome.ran is errors.Ran.NO:
+            return
+        usage.ran = True
+        usage.completion_tokens += outcome.token_count
+
+    def _settle(self, job, reservation, usage):
+        cost = functools.partial(_cost, job.document, usage)
+        charged = self._book.settle(reservation, cost)
+        labels = {"customer": job.customer, "route": job.match.name}
+        self._metrics.count("charged_micros", charged, **labels)
+        self._metrics.count("completion_tokens", usage.completion_tokens, **labels)
+
+
+def _cost(document, usage, charge):
+    if not usage.ran:
+        return 0
+    limit = document.limit_by_name[charge.limit_name]
+    tokens = usage.prompt_tokens + usage.completion_tokens
+    return prices.actual_cost(limit, tokens)
--- a/src/peridothitch/gateway/handler.py
+++ b/src/peridothitch/gateway/handler.py
@@ -185,15 +185,16 @@
         key = request.header_by_name.get(_KEY_HEADER) or secrets.token_hex(
             _REQUEST_ID_BYTES
         )
+        chat = self._parse_chat(request, match.route, indexes.document)
         return jobs.Job(
-            request=request,
+            request=_bound_tokens(request, chat, match.route),
             document=indexes.document,
             match=match,
             customer=customer,
             request_id=secrets.token_hex(_REQUEST_ID_BYTES),
             key=key,
             deadline=self._deadline(request, match.route),
-            chat=self._parse_chat(request, match.route, indexes.document),
+            chat=chat,
         )
 
     def _deadline(self, request, route):
@@ -220,6 +221,12 @@
             raise errors.RequestError(
                 errors.Code.INVALID_BODY, "a chat request needs a list of messages"
             )
+        for name in ("max_tokens", "n"):
+            value = body.get(name)
+            if value is not None and (type(value) is not int or value < 1):
+                raise errors.RequestError(
+                    errors.Code.INVALID_BODY, f"{name} is not a positive number"
+                )
         return body
 
     def _answer_once(self, job, span):
@@ -302,3 +309,11 @@
                         return
             except errors.UpstreamError as error:
                 yield problems.to_event(error)
+
+
+def _bound_tokens(request, chat, route):
+    """Set the bound on the answer's tokens that its spending is reserved for."""
+    if chat is None or chat.get("max_tokens") is not None:
+        return request
+    chat["max_tokens"] = route.max_tokens
+    return dataclasses.replace(request, body=msgspec.json.encode(chat))
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import dataclasses
 import datetime
+import secrets
 import threading
 
 from peridothitch.adapters import (
@@ -12,12 +13,15 @@
     traces,
     wsgi_front,
 )
-from peridothitch.coordination import claims, documents
+from peridothitch.coordination import claims, documents, slices, solo, spending
 from peridothitch.gateway import admission, handler, upstreams, versions
+from peridothitch.ports import peers
 
 __all__ = ["EntryHost", "HostSettings"]
 
 _DOCUMENT_INTERVAL = datetime.timedelta(seconds=1)
+_TIDY_INTERVAL = datetime.timedelta(seconds=5)
+_INCARNATION_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -68,6 +72,13 @@
         document_store = documents.DocumentStore(service, document_file.YamlCodec())
         self.feed = documents.DocumentFeed(document_store, clock, self.metrics)
         self._view = upstreams.UpstreamView(host_list, clock, self.metrics)
+        own = peers.Peer(
+            host_id=settings.host_id, address="", data_centre=settings.data_centre
+        )
+        self._peers = solo.SoloPeers(own)
+        ledger = slices.SliceLedger(service, _incarnation(settings.host_id))
+        self.book = spending.SpendingBook(ledger, self._peers, clock, self.metrics)
+        gate = admission.SpendingGate(self.book, clock, self.metrics)
         self._handler = handler.RequestHandler(
             feed=self.feed,
             view=self._view,
@@ -76,9 +87,9 @@
             clock=clock,
             metrics=self.metrics,
             tracer=self._tracer,
-            admission=admission.Admission(),
+            admission=gate,
             version_picker=versions.VersionPicker(),
-            observers=(),
+            observers=(gate,),
             data_centre=settings.data_centre,
         )
         self._server = wsgi_front.WsgiServer(
@@ -102,6 +113,7 @@
         self._view.refresh()
         self._background.submit(self.feed.run, self._stop, _DOCUMENT_INTERVAL)
         self._background.submit(self._view.run, self._stop)
+        self._background.submit(self.book.run, self._stop, _TIDY_INTERVAL)
         self._server.start()
 
     def stop(self):
@@ -116,5 +128,11 @@
         self._stop.set()
         self._server.close()
         self._background.shutdown()
+        self.book.close()
         self._tracer.close()
         return drained
+
+
+def _incarnation(host_id):
+    """Return a name that no other process has, not even a restarted one."""
+    return f"{host_id}-{secrets.token_hex(_INCARNATION_BYTES)}"
--- a/src/peridothitch/gateway/jobs.py
+++ b/src/peridothitch/gateway/jobs.py
@@ -55,3 +55,9 @@
     def streamed(self):
         """Whether the caller wants a stream of events."""
         return self.chat is not None and self.chat.get("stream") is True
+
+    @property
+    def max_tokens(self):
+        """Most tokens that the answer to a chat request may have, over all choices."""
+        tokens = self.chat.get("max_tokens") or self.route.max_tokens
+        return tokens * (self.chat.get("n") or 1)
--- a/src/peridothitch/policy/document.py
+++ b/src/peridothitch/policy/document.py
@@ -79,6 +79,8 @@
         Longest gap between two parts of the answer.
     attempts : int
         Most upstreams tried for one request.
+    max_tokens : int
+        Most tokens of a chat answer when the caller sets no bound.
     """
 
     method: str
@@ -90,6 +92,7 @@
     first_byte_timeout: datetime.timedelta = 10 * _SECOND
     gap_timeout: datetime.timedelta = 5 * _SECOND
     attempts: int = 3
+    max_tokens: int = 1024
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
