--- a/features/spending_fleet.py
+++ b/features/spending_fleet.py
@@ -144,6 +144,9 @@
     def is_cut(self, *host_ids):
         return any(host_id in self.cut_ids for host_id in host_ids)
 
+    def current_period(self):
+        return spending_policy.find_period(self.clock.now(), PERIOD)
+
     def charge(self, host, amount):
         limit = documents.SpendingLimit(
             customer="example",
@@ -154,7 +157,7 @@
             limit_name="daily",
             limit_micros=spending_policy.to_micros(limit.amount),
             revision=host.revision,
-            period=spending_policy.find_period(self.clock.now(), PERIOD),
+            period=self.current_period(),
             amount=amount,
         )
 
