--- a/src/peridothitch/adapters/wsgi_front.py
+++ b/src/peridothitch/adapters/wsgi_front.py
@@ -97,15 +97,19 @@
     ----------
     handler : peridothitch.gateway.handler.RequestHandler
     metrics : peridothitch.adapters.metrics.Metrics
+    move_status : callable
+        Returns what operators read about moves, as plain values.
     """
 
-    def __init__(self, handler, metrics):
+    def __init__(self, handler, metrics, move_status=tuple):
         self._handler = handler
+        self._move_status = move_status
         self._metrics = metrics
         self._page_by_path = {
             "/healthz": self._health,
             "/readyz": self._readiness,
             "/metrics": self._render_metrics,
+            "/v1/moves": self._report_moves,
         }
 
     def __call__(self, environ, start_response):
@@ -136,6 +140,9 @@
         ready = self._handler.is_ready()
         return _json_reply(200 if ready else 503, {"ready": ready})
 
+    def _report_moves(self, environ):
+        return _json_reply(200, {"moves": self._move_status()})
+
     def _render_metrics(self, environ):
         body, header_by_name = self._metrics.render(environ.get("HTTP_ACCEPT", "*/*"))
         return messages.Reply(
--- a/src/peridothitch/errors.py
+++ b/src/peridothitch/errors.py
@@ -61,6 +61,12 @@
     UNKNOWN_SECTION = 5006
     INVALID_SETTING = 6001
     ADDRESS_IN_USE = 6002
+    MOVE_FINISHED = 7000
+    MOVE_VERSION_FAULTY = 7001
+    MOVE_NOT_PROVED = 7002
+    MOVE_WITHDRAWN = 7003
+    MOVE_QUEUED_TOO_LONG = 7004
+    MOVE_ALREADY_IN_FORCE = 7005
     INTERNAL = 9001
 
     @property
@@ -104,6 +110,12 @@
     Code.UNKNOWN_SECTION: (404, "The document has no such section."),
     Code.INVALID_SETTING: (400, "A flag or environment variable is invalid."),
     Code.ADDRESS_IN_USE: (500, "The listen address is in use."),
+    Code.MOVE_FINISHED: (200, "The move is done."),
+    Code.MOVE_VERSION_FAULTY: (200, "The new version was worse; the move is undone."),
+    Code.MOVE_NOT_PROVED: (200, "The move's time ended without proof; it is undone."),
+    Code.MOVE_WITHDRAWN: (200, "The move was edited or removed; it is undone."),
+    Code.MOVE_QUEUED_TOO_LONG: (200, "Another move of the service took the time."),
+    Code.MOVE_ALREADY_IN_FORCE: (200, "The version served before the move began."),
     Code.INTERNAL: (500, "An unexpected error occurred."),
 }
 
--- /dev/null
+++ b/src/peridothitch/gateway/active_move.py
@@ -0,0 +1,220 @@
+"""One entry host's part in one move that is under way."""
+
+import collections
+import dataclasses
+import threading
+
+import msgspec
+
+from peridothitch.policy import evidence, moves, tally
+
+__all__ = ["ActiveMove", "Condemnation", "FleetView"]
+
+_NEEDED_ROUTE_SHARE = 0.5
+_MAX_CARRIER_SHARE = 0.8
+_TRICKLE_PART = 0.5
+
+
+class Condemnation(msgspec.Struct, frozen=True, array_like=True):
+    """Why a move's new version gets no new requests.
+
+    Attributes
+    ----------
+    route : str
+        Empty for lost connections.
+    measure : peridothitch.policy.evidence.Measure
+    trials, events : int
+        The new version's attempts that were compared and the adverse ones among them.
+    old_rate : float
+        Rate of adverse events of the old version at that time.
+    """
+
+    route: str
+    measure: evidence.Measure
+    trials: int
+    events: int
+    old_rate: float
+
+    def describe(self):
+        """Return one sentence for operators."""
+        where = f"route {self.route}" if self.route else "all routes"
+        return (
+            f"{self.measure.value} on {where}: {self.events} of {self.trials} attempts,"
+            f" old version {self.old_rate:.1%}"
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FleetView:
+    """What a move needs to know of the fleet.
+
+    Attributes
+    ----------
+    host_ids : frozenset of str
+        Entry hosts believed live.
+    new_host_count, old_host_count : int
+        Live upstream hosts by version.
+    """
+
+    host_ids: frozenset
+    new_host_count: int
+    old_host_count: int
+
+
+class ActiveMove:
+    """Picks versions, collects evidence and weighs it.
+
+    Parameters
+    ----------
+    record : peridothitch.policy.moves.MoveRecord
+    host_id : str
+        This entry host.
+    route_count : int
+        Routes of the service.
+    is_quarantined : callable
+        Tells whether a request id is quarantined.
+    generator : random.Random
+    since : datetime.timedelta
+        Monotonic time at which this host learnt of the move.
+    """
+
+    def __init__(self, record, host_id, route_count, is_quarantined, generator, since):
+        self.record = record
+        self.since = since
+        self.condemnation = None
+        self._host_id = host_id
+        self._random = generator
+        self._lock = threading.Lock()
+        self._budget = moves.ExposureBudget(record.max_exposed_share)
+        self._judge = evidence.Judge(route_count)
+        self._tally = tally.EvidenceTally(
+            record.service, record.from_version, record.to_version, is_quarantined
+        )
+        self._fleet = FleetView(
+            host_ids=frozenset((host_id,)), new_host_count=0, old_host_count=0
+        )
+        self.carriers = frozenset()
+        self._in_flight_by_route = collections.Counter()
+        self._has_adverse_news = False
+
+    @property
+    def is_carrier(self):
+        """Whether this host sends requests to the unproved version."""
+        return self._host_id in self.carriers
+
+    @property
+    def suspicion(self):
+        """Largest evidence against the version, as a share of the bound."""
+        return self._judge.suspicion
+
+    def update_fleet(self, fleet):
+        """Take a new `FleetView`."""
+        with self._lock:
+            self._fleet = fleet
+            self.carriers = moves.choose_carriers(
+                self.record.move_id, fleet.host_ids, self.record.max_exposed_share
+            )
+
+    def pick(self, route, now):
+        """Return the version for one request.
+
+        Parameters
+        ----------
+        route : str
+            Name of the request's route.
+        now : datetime.datetime
+        """
+        with self._lock:
+            self._tally.requests += 1
+            if not self._takes_new(route, now):
+                return self.record.from_version
+            self._tally.exposed += 1
+            self._in_flight_by_route[route] += 1
+            return self.record.to_version
+
+    def _takes_new(self, route, now):
+        if self.condemnation is not None or not self._fleet.new_host_count:
+            return False
+        current = moves.stage(self.record, now)
+        if current is moves.Stage.RAMP:
+            return self._random.random() < moves.ramp_share(self.record, now)
+        if current not in (moves.Stage.SPREAD, moves.Stage.LOADED):
+            return False
+        if not self.is_carrier:
+            return False
+        self._budget.earn(len(self._fleet.host_ids), len(self.carriers))
+        if self._random.random() >= self._carrier_share(route, current):
+            return False
+        return self._budget.spend(current)
+
+    def _carrier_share(self, route, current):
+        scale = len(self._fleet.host_ids) / len(self.carriers)
+        if current is moves.Stage.LOADED:
+            share = moves.load_share(
+                self._fleet.new_host_count, self._fleet.old_host_count
+            )
+            return min(_MAX_CARRIER_SHARE, share * scale)
+        samples = self._judge.samples(route) + self._in_flight_by_route[route]
+        if moves.is_sample_wanted(samples):
+            return _NEEDED_ROUTE_SHARE
+        planned = moves.NOMINAL_SHARE_OF_CAP * self.record.max_exposed_share
+        return min(_NEEDED_ROUTE_SHARE, _TRICKLE_PART * planned * scale)
+
+    def observe(self, outcome):
+        """Take in one outcome of an attempt."""
+        with self._lock:
+            if outcome.version == self.record.to_version:
+                in_flight = self._in_flight_by_route[outcome.route]
+                self._in_flight_by_route[outcome.route] = max(0, in_flight - 1)
+            if self._tally.observe(outcome):
+                self._has_adverse_news = True
+
+    def report(self, now):
+        """Return this host's `HostEvidence` and whether it has adverse news."""
+        with self._lock:
+            self._tally.settle(now)
+            has_adverse_news = self._has_adverse_news
+            self._has_adverse_news = False
+            return self._tally.report(), has_adverse_news
+
+    def weigh(self, evidences, now):
+        """Weigh all hosts' evidence.
+
+        Returns
+        -------
+        Condemnation or None
+            Set when the version is found to be worse.
+        """
+        merged = evidence.merge(evidences)
+        finding = self._judge.update(merged, self.record.elapsed(now))
+        if finding is None:
+            return None
+        return Condemnation(
+            route=finding.stratum.route,
+            measure=finding.stratum.measure,
+            trials=finding.counts.trials,
+            events=finding.counts.events,
+            old_rate=finding.old_rate,
+        )
+
+    def weighing(self, routes):
+        """Return the `Weighing` for a decision.
+
+        Parameters
+        ----------
+        routes : iterable of str
+            Names of the service's routes.
+        """
+        wanting = tuple(
+            route
+            for route in routes
+            if self._judge.old_samples(route)
+            and moves.is_sample_wanted(self._judge.samples(route))
+        )
+        condemned = self.condemnation.describe() if self.condemnation else ""
+        return moves.Weighing(
+            condemned=condemned,
+            suspicion=self._judge.suspicion,
+            wanting_routes=wanting,
+            new_host_count=self._fleet.new_host_count,
+        )
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import dataclasses
 import datetime
+import random
 import threading
 
 from peridothitch.adapters import (
@@ -12,8 +13,9 @@
     traces,
     wsgi_front,
 )
-from peridothitch.coordination import claims, documents
-from peridothitch.gateway import admission, handler, upstreams, versions
+from peridothitch.coordination import claims, documents, ranking, solo, verdicts
+from peridothitch.gateway import admission, handler, moves, upstreams, versions
+from peridothitch.ports import peers
 
 __all__ = ["EntryHost", "HostSettings"]
 
@@ -68,6 +70,7 @@
         document_store = documents.DocumentStore(service, document_file.YamlCodec())
         self.feed = documents.DocumentFeed(document_store, clock, self.metrics)
         self._view = upstreams.UpstreamView(host_list, clock, self.metrics)
+        self.moves = self._make_moves(service, clock)
         self._handler = handler.RequestHandler(
             feed=self.feed,
             view=self._view,
@@ -77,12 +80,12 @@
             metrics=self.metrics,
             tracer=self._tracer,
             admission=admission.Admission(),
-            version_picker=versions.VersionPicker(),
-            observers=(),
+            version_picker=versions.VersionPicker(self.moves),
+            observers=(self.moves,),
             data_centre=settings.data_centre,
         )
         self._server = wsgi_front.WsgiServer(
-            wsgi_front.WsgiFront(self._handler, self.metrics),
+            wsgi_front.WsgiFront(self._handler, self.metrics, self.moves.status),
             settings.listen,
             settings.threads,
             settings.max_body_bytes,
@@ -91,6 +94,26 @@
             thread_name_prefix=f"{settings.host_id}-background"
         )
 
+    def _make_moves(self, service, clock):
+        host_id = self._settings.host_id
+        peer = peers.Peer(
+            host_id=host_id,
+            address=self._settings.listen,
+            data_centre=self._settings.data_centre,
+        )
+        members = solo.SoloPeers(peer)
+        return moves.MoveKeeper(
+            feed=self.feed,
+            view=self._view,
+            book=verdicts.MoveBook(service, host_id),
+            board=solo.LocalFactBoard(),
+            peers=members,
+            leadership=ranking.RankedLeadership(members, "moves"),
+            clock=clock,
+            metrics=self.metrics,
+            generator=random.Random(),
+        )
+
     @property
     def port(self):
         """Port that callers connect to."""
@@ -102,6 +125,7 @@
         self._view.refresh()
         self._background.submit(self.feed.run, self._stop, _DOCUMENT_INTERVAL)
         self._background.submit(self._view.run, self._stop)
+        self._background.submit(self.moves.run, self._stop)
         self._server.start()
 
     def stop(self):
--- a/src/peridothitch/gateway/versions.py
+++ b/src/peridothitch/gateway/versions.py
@@ -4,7 +4,16 @@
 
 
 class VersionPicker:
-    """Sends every request to its service's current version."""
+    """Sends requests to the version in force or to the one that a move tries.
+
+    Parameters
+    ----------
+    keeper : peridothitch.gateway.moves.MoveKeeper or None
+        None sends every request to its service's current version.
+    """
+
+    def __init__(self, keeper=None):
+        self._keeper = keeper
 
     def pick(self, job):
         """Return the name of the version for a request.
@@ -13,4 +22,6 @@
         ----------
         job : peridothitch.gateway.jobs.Job
         """
-        return job.service.current
+        if self._keeper is None:
+            return job.service.current
+        return self._keeper.pick(job)
--- /dev/null
+++ b/src/peridothitch/policy/evidence.py
@@ -0,0 +1,332 @@
+"""Compares a new version with the old one's own figures at the same time.
+
+Every pair of route and measure is one sequential test. A test multiplies likelihood
+ratios of "the new version is worse" against "it is no worse than the old one is now",
+summed over the times at which a fault may have begun. Under the second hypothesis the
+expected value never exceeds 1, so the chance that it ever reaches a bound ``b`` is at
+most ``1 / b``, however often it is looked at.
+"""
+
+import dataclasses
+import enum
+import math
+
+import msgspec
+
+__all__ = [
+    "Counts",
+    "Finding",
+    "HostEvidence",
+    "Judge",
+    "Measure",
+    "RouteCounts",
+    "SequentialTest",
+    "Stratum",
+    "merge",
+]
+
+MAX_WRONG_TAKE_BACK = 0.004
+"""Bound on the chance that a move of a version no worse than the old is taken back."""
+
+_EXCESSES = (0.1, 0.3, 0.7)
+_INITIAL_MASS = 0.5
+_RECENT_MEMORY = 40.0
+_LONG_MEMORY = 1000.0
+_SHRINKAGE = 10.0
+_MIN_EVENTS = 3
+_MAX_RATE = 0.95
+
+
+class Measure(enum.Enum):
+    """What is compared."""
+
+    FAILED = "failed"
+    FIRST_TOKEN = "first_token"
+    TOKEN_GAP = "token_gap"
+    LOST = "lost"
+
+
+_FLOOR_BY_MEASURE = {
+    Measure.FAILED: 0.005,
+    Measure.FIRST_TOKEN: 0.05,
+    Measure.TOKEN_GAP: 0.05,
+    Measure.LOST: 0.01,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Counts:
+    """Trials and the adverse events among them."""
+
+    trials: int = 0
+    events: int = 0
+
+    def __add__(self, other):
+        return Counts(self.trials + other.trials, self.events + other.events)
+
+
+@dataclasses.dataclass(frozen=True)
+class Stratum:
+    """One comparison; the route is empty for lost connections."""
+
+    route: str
+    measure: Measure
+
+
+class RouteCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Cumulative counts of one version on one route.
+
+    Attributes
+    ----------
+    attempts, failed : int
+        Attempts that were answered, and those answered with a failure.
+    firsts, slow_firsts : int
+        Answers whose first byte was timed, and the slow ones.
+    gaps, slow_gaps : int
+        Answers whose mean token gap was timed, and the slow ones.
+    """
+
+    attempts: int = 0
+    failed: int = 0
+    firsts: int = 0
+    slow_firsts: int = 0
+    gaps: int = 0
+    slow_gaps: int = 0
+
+    def by_measure(self):
+        """Return `Counts` by measure."""
+        return {
+            Measure.FAILED: Counts(self.attempts, self.failed),
+            Measure.FIRST_TOKEN: Counts(self.firsts, self.slow_firsts),
+            Measure.TOKEN_GAP: Counts(self.gaps, self.slow_gaps),
+        }
+
+
+class HostEvidence(msgspec.Struct, frozen=True, array_like=True):
+    """Cumulative evidence of one entry host about one move.
+
+    Attributes
+    ----------
+    exposed : int
+        Requests sent to the new version, those in flight included.
+    requests : int
+        All requests of the service.
+    new, old : dict of str to RouteCounts
+        Counts by route.
+    new_losses, old_losses : tuple of int
+        One number for each upstream host and time window with lost connections; equal
+        numbers from several entry hosts are the same incident.
+    """
+
+    exposed: int = 0
+    requests: int = 0
+    new: dict[str, RouteCounts] = {}
+    old: dict[str, RouteCounts] = {}
+    new_losses: tuple[int, ...] = ()
+    old_losses: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Finding:
+    """A stratum in which the new version is worse.
+
+    Attributes
+    ----------
+    stratum : Stratum
+    counts : Counts
+        The new version's cumulative counts.
+    old_rate : float
+        Rate of adverse events that the old version has now.
+    """
+
+    stratum: Stratum
+    counts: Counts
+    old_rate: float
+
+
+def merge(evidences):
+    """Sum the evidence of several hosts.
+
+    Parameters
+    ----------
+    evidences : iterable of HostEvidence
+
+    Returns
+    -------
+    dict of Stratum to tuple of (Counts, Counts)
+        Cumulative counts of the new and the old version.
+    """
+    evidences = tuple(evidences)
+    new, old = {}, {}
+    for evidence in evidences:
+        _add_routes(new, evidence.new)
+        _add_routes(old, evidence.old)
+    lost = Stratum("", Measure.LOST)
+    new[lost] = _losses(new, (evidence.new_losses for evidence in evidences))
+    old[lost] = _losses(old, (evidence.old_losses for evidence in evidences))
+    empty = Counts()
+    return {
+        stratum: (new.get(stratum, empty), old.get(stratum, empty))
+        for stratum in new.keys() | old.keys()
+    }
+
+
+def _add_routes(total_by_stratum, counts_by_route):
+    for route, route_counts in counts_by_route.items():
+        for measure, counts in route_counts.by_measure().items():
+            stratum = Stratum(route, measure)
+            total = total_by_stratum.get(stratum, Counts())
+            total_by_stratum[stratum] = total + counts
+
+
+def _losses(total_by_stratum, losses):
+    events = len(set().union(*losses))
+    answered = sum(
+        counts.trials
+        for stratum, counts in total_by_stratum.items()
+        if stratum.measure is Measure.FAILED
+    )
+    return Counts(answered + events, events)
+
+
+class SequentialTest:
+    """Test of one stratum with a bounded chance of a wrong finding.
+
+    Parameters
+    ----------
+    floor : float
+        Lowest rate of adverse events that is assumed of the old version.
+    """
+
+    def __init__(self, floor):
+        self._floor = floor
+        self._masses = [_INITIAL_MASS] * len(_EXCESSES)
+        self._pending_mass = 0.0
+        self._recent = (0.0, 0.0)
+        self._long = (0.0, 0.0)
+        self.events = 0
+
+    @property
+    def value(self):
+        """Evidence against the version; 1 at most in expectation while it is good."""
+        return sum(self._masses) / len(self._masses)
+
+    @property
+    def old_rate(self):
+        """Upper estimate of the old version's rate of adverse events now."""
+        trials, events = self._long
+        rate = (events + 0.5) / (trials + 1.0)
+        deviation = math.sqrt(rate * (1.0 - rate) / (trials + 1.0))
+        long_rate = min(1.0, events / max(trials, 1.0) + deviation)
+        trials, events = self._recent
+        recent_rate = (events + _SHRINKAGE * long_rate) / (trials + _SHRINKAGE)
+        return min(_MAX_RATE, max(self._floor, long_rate, recent_rate))
+
+    def update(self, new, old, elapsed):
+        """Take in what has come since the last update.
+
+        Parameters
+        ----------
+        new, old : Counts
+            Counts since the last update.
+        elapsed : float
+            Share of the move's time that has passed since the last update.
+        """
+        self._recent = _decay(self._recent, old, _RECENT_MEMORY)
+        self._long = _decay(self._long, old, _LONG_MEMORY)
+        self._pending_mass += (1.0 - _INITIAL_MASS) * elapsed
+        if not new.trials:
+            return
+        self.events += new.events
+        rate = self.old_rate
+        for index, excess in enumerate(_EXCESSES):
+            worse = rate + excess * (1.0 - rate)
+            logarithm = new.events * math.log(worse / rate)
+            quiet = new.trials - new.events
+            logarithm += quiet * math.log((1.0 - worse) / (1.0 - rate))
+            mass = self._masses[index] + self._pending_mass
+            self._masses[index] = mass * math.exp(min(logarithm, 500.0))
+        self._pending_mass = 0.0
+
+
+def _decay(pair, counts, memory):
+    trials, events = pair[0] + counts.trials, pair[1] + counts.events
+    if trials <= memory:
+        return trials, events
+    return memory, events * memory / trials
+
+
+class Judge:
+    """Weighs the merged evidence of one move.
+
+    Parameters
+    ----------
+    route_count : int
+        Routes of the service; sets the bound of each test.
+    """
+
+    def __init__(self, route_count):
+        strata = 3 * max(1, route_count) + 1
+        self._bound = strata / MAX_WRONG_TAKE_BACK
+        self._test_by_stratum = {}
+        self._total_by_stratum = {}
+        self._elapsed = 0.0
+
+    @property
+    def suspicion(self):
+        """Largest evidence of any stratum, as a share of the bound."""
+        values = [test.value for test in self._test_by_stratum.values()]
+        return max(values, default=0.0) / self._bound
+
+    def samples(self, route):
+        """Return how many attempts of the new version on `route` were weighed."""
+        total = self._total_by_stratum.get(Stratum(route, Measure.FAILED))
+        return total[0].trials if total else 0
+
+    def old_samples(self, route):
+        """Return how many attempts of the old version on `route` were weighed."""
+        total = self._total_by_stratum.get(Stratum(route, Measure.FAILED))
+        return total[1].trials if total else 0
+
+    def update(self, total_by_stratum, elapsed):
+        """Weigh cumulative evidence.
+
+        Parameters
+        ----------
+        total_by_stratum : dict of Stratum to tuple of (Counts, Counts)
+            As `merge` returns it. Totals that went down, because a host restarted or
+            its facts were lost, are taken as the new base and add no evidence.
+        elapsed : float
+            Share of the move's time that has passed, 0 to 1.
+
+        Returns
+        -------
+        Finding or None
+        """
+        step = max(0.0, min(1.0, elapsed) - self._elapsed)
+        self._elapsed += step
+        finding = None
+        for stratum, total in total_by_stratum.items():
+            found = self._weigh(stratum, total, step)
+            finding = finding or found
+        return finding
+
+    def _weigh(self, stratum, total, step):
+        test = self._test_by_stratum.get(stratum)
+        if test is None:
+            test = SequentialTest(_FLOOR_BY_MEASURE[stratum.measure])
+            test.update(Counts(), Counts(), self._elapsed - step)
+            self._test_by_stratum[stratum] = test
+        new, old = self._total_by_stratum.get(stratum, (Counts(), Counts()))
+        self._total_by_stratum[stratum] = total
+        test.update(_growth(new, total[0]), _growth(old, total[1]), step)
+        if test.events < _MIN_EVENTS or test.value < self._bound:
+            return None
+        return Finding(stratum, total[0], test.old_rate)
+
+
+def _growth(before, after):
+    trials, events = after.trials - before.trials, after.events - before.events
+    if trials < 0 or not 0 <= events <= trials:
+        return Counts()
+    return Counts(trials, events)
--- /dev/null
+++ b/src/peridothitch/policy/tally.py
@@ -0,0 +1,203 @@
+"""Turns outcomes of attempts into one entry host's evidence about a move."""
+
+import collections
+import datetime
+
+import msgspec
+import xxhash
+
+from peridothitch import errors
+from peridothitch.policy import evidence
+
+__all__ = ["EvidenceTally"]
+
+_LOST_CODES = frozenset(
+    {
+        errors.Code.STREAM_INTERRUPTED,
+        errors.Code.OUTCOME_UNKNOWN,
+    }
+)
+_LOSS_WINDOW = datetime.timedelta(seconds=10)
+_SETTLE = datetime.timedelta(seconds=1)
+_MAX_LOSSES = 64
+_THRESHOLD_QUANTILE = 0.9
+_THRESHOLD_MARGIN = 1.25
+_THRESHOLD_SAMPLES = 200
+_MIN_THRESHOLD_SAMPLES = 20
+_FAILED_STATUS = 400
+
+
+class _SlowThreshold:
+    """Bound above which an answer is slow: the old version's own tail."""
+
+    def __init__(self):
+        self._recent = collections.deque(maxlen=_THRESHOLD_SAMPLES)
+        self._bound = None
+        self._unused = 0
+
+    def is_slow(self, seconds):
+        """Return whether `seconds` is slow; None while too little is known."""
+        return None if self._bound is None else seconds > self._bound
+
+    def learn(self, seconds):
+        """Take in one value of the old version."""
+        self._recent.append(seconds)
+        self._unused += 1
+        if self._unused < _MIN_THRESHOLD_SAMPLES:
+            return
+        self._unused = 0
+        ordered = sorted(self._recent)
+        index = int(_THRESHOLD_QUANTILE * (len(ordered) - 1))
+        self._bound = ordered[index] * _THRESHOLD_MARGIN
+
+
+class _Loss(msgspec.Struct, frozen=True):
+    """Lost connection that is not counted yet."""
+
+    ended: datetime.datetime
+    data_centre: str
+    request_id: str
+    mark: int
+
+
+class EvidenceTally:
+    """Counts what one entry host sees of a move's two versions.
+
+    Attempts at hosts that are leaving are left out. A lost connection is counted after
+    a short wait, and only if the request was not quarantined and no old host in the
+    same data centre lost a connection in the same time: a broken link cuts both.
+
+    Parameters
+    ----------
+    service, old_version, new_version : str
+    is_quarantined : callable
+        Tells whether a request id is quarantined.
+    """
+
+    def __init__(self, service, old_version, new_version, is_quarantined):
+        self._service = service
+        self._versions = (old_version, new_version)
+        self._is_quarantined = is_quarantined
+        self._counts_by_route_by_version = {old_version: {}, new_version: {}}
+        self._first_by_route = collections.defaultdict(_SlowThreshold)
+        self._gap_by_route = collections.defaultdict(_SlowThreshold)
+        self._losses_by_version = {old_version: {}, new_version: {}}
+        self._pending = []
+        self._old_loss_by_data_centre = {}
+        self.exposed = 0
+        self.requests = 0
+
+    def observe(self, outcome):
+        """Take in one `peridothitch.ports.outcomes.AttemptOutcome`.
+
+        Returns
+        -------
+        bool
+            Whether it speaks against the new version.
+        """
+        if outcome.service != self._service or outcome.version not in self._versions:
+            return False
+        if outcome.host_leaving or self._is_quarantined(outcome.request_id):
+            return False
+        if _is_lost(outcome):
+            return self._add_loss(outcome)
+        if _is_timeout(outcome):
+            return self._add_timeout(outcome)
+        if outcome.code is not None and not _is_answer(outcome):
+            return False
+        return self._add_answer(outcome)
+
+    def settle(self, now):
+        """Count the lost connections whose wait is over."""
+        due = [loss for loss in self._pending if loss.ended + _SETTLE <= now]
+        self._pending = [loss for loss in self._pending if loss.ended + _SETTLE > now]
+        for loss in due:
+            if self._is_quarantined(loss.request_id) or self._is_link_cut(loss):
+                continue
+            _add_mark(self._losses_by_version[self._versions[1]], loss.mark)
+
+    def report(self):
+        """Return the cumulative `peridothitch.policy.evidence.HostEvidence`."""
+        old, new = self._versions
+        return evidence.HostEvidence(
+            exposed=self.exposed,
+            requests=self.requests,
+            new=dict(self._counts_by_route_by_version[new]),
+            old=dict(self._counts_by_route_by_version[old]),
+            new_losses=tuple(self._losses_by_version[new]),
+            old_losses=tuple(self._losses_by_version[old]),
+        )
+
+    def _is_new(self, outcome):
+        return outcome.version == self._versions[1]
+
+    def _is_link_cut(self, loss):
+        seen = self._old_loss_by_data_centre.get(loss.data_centre)
+        return seen is not None and abs(seen - loss.ended) < _LOSS_WINDOW
+
+    def _add_loss(self, outcome):
+        window = int(outcome.ended.timestamp() / _LOSS_WINDOW.total_seconds())
+        mark = xxhash.xxh32_intdigest(f"{outcome.host_id}/{window}")
+        if self._is_new(outcome):
+            self._pending.append(
+                _Loss(outcome.ended, outcome.data_centre, outcome.request_id, mark)
+            )
+            return True
+        self._old_loss_by_data_centre[outcome.data_centre] = outcome.ended
+        _add_mark(self._losses_by_version[outcome.version], mark)
+        return False
+
+    def _add_timeout(self, outcome):
+        self._add(outcome, firsts=1, slow_firsts=1)
+        return self._is_new(outcome)
+
+    def _add_answer(self, outcome):
+        failed = outcome.status >= _FAILED_STATUS or outcome.code is not None
+        change = {"attempts": 1, "failed": int(failed)}
+        if not failed and outcome.first_byte is not None:
+            first = outcome.first_byte.total_seconds()
+            slow = self._time(self._first_by_route, outcome, first)
+            change |= {} if slow is None else {"firsts": 1, "slow_firsts": int(slow)}
+        if not failed and outcome.first_byte is not None and outcome.token_count > 1:
+            rest = (outcome.duration - outcome.first_byte).total_seconds()
+            gap = rest / (outcome.token_count - 1)
+            slow = self._time(self._gap_by_route, outcome, gap)
+            change |= {} if slow is None else {"gaps": 1, "slow_gaps": int(slow)}
+        self._add(outcome, **change)
+        adverse = ("failed", "slow_firsts", "slow_gaps")
+        return self._is_new(outcome) and any(change.get(name) for name in adverse)
+
+    def _time(self, threshold_by_route, outcome, seconds):
+        threshold = threshold_by_route[outcome.route]
+        slow = threshold.is_slow(seconds)
+        if not self._is_new(outcome):
+            threshold.learn(seconds)
+        return slow
+
+    def _add(self, outcome, **change):
+        counts_by_route = self._counts_by_route_by_version[outcome.version]
+        counts = counts_by_route.get(outcome.route, evidence.RouteCounts())
+        sums = {name: getattr(counts, name) + more for name, more in change.items()}
+        counts_by_route[outcome.route] = msgspec.structs.replace(counts, **sums)
+
+
+def _is_lost(outcome):
+    if outcome.code in _LOST_CODES:
+        return True
+    return outcome.code is errors.Code.UPSTREAM_REFUSED and not outcome.status
+
+
+def _is_timeout(outcome):
+    if outcome.code is not errors.Code.DEADLINE_EXCEEDED:
+        return False
+    return outcome.first_byte is None and outcome.ran is not errors.Ran.NO
+
+
+def _is_answer(outcome):
+    return outcome.status or outcome.code is errors.Code.UPSTREAM_FAILED
+
+
+def _add_mark(losses, mark):
+    losses[mark] = None
+    if len(losses) > _MAX_LOSSES:
+        losses.pop(next(iter(losses)))
