--- /dev/null
+++ b/features/steps/move_evidence_steps.py
@@ -0,0 +1,258 @@
+import datetime
+import random
+
+import behave
+import hypothesis
+import move_fleet
+from hypothesis import strategies
+
+from peridothitch import errors
+from peridothitch.adapters import memory_store
+from peridothitch.coordination import verdicts
+from peridothitch.policy import evidence, exposure, moves, tally
+from peridothitch.ports import outcomes
+from peridothitch.standins import faulty_store
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+NOON = datetime.datetime(2026, 3, 2, 12, tzinfo=datetime.UTC)
+TICKS = 300
+EXAMPLES = hypothesis.settings(max_examples=60)
+
+
+def outcome(version, **fields):
+    known = {
+        "request_id": "r",
+        "service": "assistant",
+        "version": version,
+        "route": "chat",
+        "customer": "",
+        "host_id": "engine-0",
+        "data_centre": "fife",
+        "ended": NOON,
+        "first_byte": 100 * MILLISECOND,
+        "duration": 200 * MILLISECOND,
+        "status": 200,
+    }
+    return outcomes.AttemptOutcome(**known | fields)
+
+
+def lost(version, **fields):
+    return outcome(
+        version,
+        status=0,
+        code=errors.Code.STREAM_INTERRUPTED,
+        ran=errors.Ran.UNKNOWN,
+        **fields,
+    )
+
+
+def make_tally(quarantined=frozenset()):
+    return tally.EvidenceTally("assistant", "v1", "v2", quarantined.__contains__)
+
+
+def count_events(generator, trials, rate):
+    return sum(generator.random() < rate for _ in range(trials))
+
+
+def equal_stream(seed):
+    """Yield cumulative counts of versions with the same, changing, failure rate."""
+    generator = random.Random(seed)
+    base = generator.choice((0.0, 0.002, 0.02, 0.2))
+    outage = generator.randrange(TICKS)
+    new, old = evidence.Counts(), evidence.Counts()
+    for tick in range(TICKS):
+        rate = base + (0.3 if outage <= tick < outage + 30 else 0.0)
+        trials = generator.randrange(2)
+        new += evidence.Counts(trials, count_events(generator, trials, rate))
+        trials = generator.randrange(12)
+        old += evidence.Counts(trials, count_events(generator, trials, rate))
+        yield tick, new, old
+
+
+@behave.when("400 streams of evidence come from versions that are equal to the old one")
+def run_equal_streams(context):
+    context.findings = context.rate_findings = 0
+    stratum = evidence.Stratum("chat", evidence.Measure.FAILED)
+    for seed in range(400):
+        judge = evidence.Judge(1)
+        found = compared = False
+        for tick, new, old in equal_stream(context.seed + seed):
+            total = {stratum: (new, old)}
+            found = found or judge.update(total, tick / TICKS) is not None
+            is_worse = new.events * old.trials > 2 * old.events * new.trials
+            compared = compared or (new.events >= 3 and is_worse)
+        context.findings += found
+        context.rate_findings += compared
+
+
+@behave.then("at most 1 in 100 of them is found to be worse")
+def check_findings(context):
+    assert context.findings <= 4, context.findings
+
+
+@behave.then("more than 1 in 100 of them fail a comparison of rates")
+def check_rates(context):
+    assert context.rate_findings > 4, context.rate_findings
+
+
+@behave.then("for any sequence of requests the budget spends at most its share")
+def check_budget(context):
+    @EXAMPLES
+    @hypothesis.given(
+        strategies.floats(0.001, 0.1),
+        strategies.integers(1, 400),
+        strategies.lists(strategies.booleans(), max_size=400),
+    )
+    def run(cap, host_count, stages):
+        carriers = exposure.carrier_count(host_count, cap)
+        budget = exposure.ExposureBudget(cap)
+        for number, loaded in enumerate(stages, 1):
+            budget.earn(host_count, carriers)
+            budget.spend(loaded)
+            fleet_requests = number * host_count
+            assert budget.spent * carriers <= cap * fleet_requests
+
+    run()
+
+
+@behave.then("for any split of outcomes over hosts the merged evidence is the same")
+def check_merge(context):
+    attempts = strategies.tuples(
+        strategies.sampled_from(("v1", "v2")),
+        strategies.sampled_from(("chat", "booking")),
+        strategies.sampled_from((200, 500)),
+        strategies.integers(0, 2),
+    )
+
+    @EXAMPLES
+    @hypothesis.given(strategies.lists(attempts, max_size=60), strategies.randoms())
+    def run(events, generator):
+        tallies = [make_tally() for _ in range(3)]
+        for version, route, status, index in events:
+            tallies[index].observe(outcome(version, route=route, status=status))
+        reports = [one.report() for one in tallies]
+        merged = evidence.merge(reports)
+        generator.shuffle(reports)
+        assert evidence.merge(reports) == merged
+        for version, index in (("v2", 0), ("v1", 1)):
+            answered = sum(event[0] == version for event in events)
+            trials = sum(
+                pair[index].trials
+                for stratum, pair in merged.items()
+                if stratum.measure is evidence.Measure.FAILED
+            )
+            assert trials == answered
+
+    run()
+
+
+@behave.then(
+    "for any mix of reclaims, cut links and poisoned requests nothing is counted"
+)
+def check_noise(context):
+    kinds = strategies.sampled_from(("reclaim", "link", "poison"))
+
+    @EXAMPLES
+    @hypothesis.given(strategies.lists(kinds, max_size=40))
+    def run(noise):
+        counted = make_tally(frozenset({"poison"}))
+        for index, kind in enumerate(noise):
+            host_id = f"engine-{index}"
+            if kind == "reclaim":
+                counted.observe(lost("v2", host_id=host_id, host_leaving=True))
+            elif kind == "poison":
+                counted.observe(lost("v2", host_id=host_id, request_id="poison"))
+            else:
+                counted.observe(lost("v2", host_id=host_id))
+                counted.observe(lost("v1", host_id="old-0"))
+        counted.settle(NOON + 5000 * MILLISECOND)
+        total = evidence.merge([counted.report()])
+        assert all(not pair[0].events for pair in total.values()), total
+
+    run()
+
+
+@behave.then("for any number of entry hosts the losses of one crash count once")
+def check_crash(context):
+    @EXAMPLES
+    @hypothesis.given(strategies.lists(strategies.integers(1, 80), min_size=1))
+    def run(losses_by_host):
+        reports = []
+        for count in losses_by_host:
+            seen = make_tally()
+            for index in range(count):
+                seen.observe(lost("v2", request_id=f"r{index}"))
+            seen.settle(NOON + 5000 * MILLISECOND)
+            reports.append(seen.report())
+        stratum = evidence.Stratum("", evidence.Measure.LOST)
+        assert evidence.merge(reports)[stratum][0].events == 1
+
+    run()
+
+
+@behave.then(
+    "for any members the carriers are few and follow only from members and move"
+)
+def check_carriers(context):
+    names = strategies.sets(strategies.integers(0, 10_000), min_size=1, max_size=400)
+
+    @EXAMPLES
+    @hypothesis.given(names, strategies.floats(0.001, 0.05), strategies.randoms())
+    def run(numbers, cap, generator):
+        members = [f"entry-{number}" for number in numbers]
+        chosen = exposure.choose_carriers("move", members, cap)
+        generator.shuffle(members)
+        assert exposure.choose_carriers("move", members, cap) == chosen
+        assert 1 <= len(chosen) <= max(2, 2 * cap * len(members) + 1)
+
+    run()
+
+
+@behave.then("for any interleaving of deciders and lost replies one verdict stands")
+def check_verdicts(context):
+    faults = strategies.sampled_from(
+        (None, faulty_store.Fault.REPLY_LOST, faulty_store.Fault.REQUEST_LOST)
+    )
+    actions = strategies.tuples(
+        strategies.integers(0, 2),
+        strategies.sampled_from(("read", "prove", "done", "undone")),
+        faults,
+    )
+
+    @EXAMPLES
+    @hypothesis.given(strategies.lists(actions, max_size=40))
+    def run(steps):
+        clock = move_fleet.VirtualClock()
+        service = faulty_store.FaultyStore(memory_store.MemoryStore(clock), clock)
+        books = [verdicts.MoveBook(service, f"entry-{index}") for index in range(3)]
+        record = moves.open_record("step", move_fleet.make_move(), "v1", clock.now())
+        known = [book.open(record) for book in books]
+        first = None
+        for index, action, fault in steps:
+            if fault is not None:
+                rule = faulty_store.FaultRule(
+                    fault=fault, methods=frozenset({"txn"}), count=1
+                )
+                service.inject(rule)
+            try:
+                known[index] = act(books[index], known[index], action, clock.now())
+            except errors.StoreError:
+                pass
+            service.clear()
+            state = books[0].load()
+            found = state.move_by_id[record.move_id].record
+            first = first or (found if found.outcome else None)
+            assert first is None or found == first
+            done = found.outcome is moves.Outcome.DONE
+            assert done == bool(state.override_by_service)
+
+    run()
+
+
+def act(book, stored, action, now):
+    if action == "read":
+        return book.load().move_by_id[stored.record.move_id]
+    if action == "prove":
+        return book.prove(stored, now, 1)
+    decision = moves.Close(moves.Outcome(action), errors.Code.MOVE_FINISHED)
+    return book.close(stored, decision, now, 1, "v1")
--- a/src/peridothitch/coordination/ranking.py
+++ b/src/peridothitch/coordination/ranking.py
@@ -26,10 +26,16 @@
     def __init__(self, peers, task):
         self._peers = peers
         self._task = task
+        self._ranked = frozenset()
+        self._first = None
 
     def is_held(self):
         """Return whether this host ranks first."""
-        return self._peers.host_id == min(self._peers.members(), key=self._rank)
+        members = frozenset(self._peers.members())
+        if members != self._ranked:
+            self._first = min(members, key=self._rank, default=None)
+            self._ranked = members
+        return self._peers.host_id == self._first
 
     def _rank(self, host_id):
-        return xxhash.xxh64_intdigest(f"{self._task}/{host_id}"), host_id
+        return xxhash.xxh64_intdigest(f"{self._task}/{host_id}".encode()), host_id
--- a/src/peridothitch/gateway/active_move.py
+++ b/src/peridothitch/gateway/active_move.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from peridothitch.policy import evidence, moves, tally
+from peridothitch.policy import evidence, exposure, moves, tally
 
 __all__ = ["ActiveMove", "Condemnation", "FleetView"]
 
@@ -85,7 +85,7 @@
         self._host_id = host_id
         self._random = generator
         self._lock = threading.Lock()
-        self._budget = moves.ExposureBudget(record.max_exposed_share)
+        self._budget = exposure.ExposureBudget(record.max_exposed_share)
         self._judge = evidence.Judge(route_count)
         self._tally = tally.EvidenceTally(
             record.service, record.from_version, record.to_version, is_quarantined
@@ -96,6 +96,7 @@
         self.carriers = frozenset()
         self._in_flight_by_route = collections.Counter()
         self._has_adverse_news = False
+        self._weighed = {}
 
     @property
     def is_carrier(self):
@@ -109,9 +110,11 @@
 
     def update_fleet(self, fleet):
         """Take a new `FleetView`."""
+        if fleet == self._fleet and self.carriers:
+            return
         with self._lock:
             self._fleet = fleet
-            self.carriers = moves.choose_carriers(
+            self.carriers = exposure.choose_carriers(
                 self.record.move_id, fleet.host_ids, self.record.max_exposed_share
             )
 
@@ -145,19 +148,19 @@
         self._budget.earn(len(self._fleet.host_ids), len(self.carriers))
         if self._random.random() >= self._carrier_share(route, current):
             return False
-        return self._budget.spend(current)
+        return self._budget.spend(current is moves.Stage.LOADED)
 
     def _carrier_share(self, route, current):
         scale = len(self._fleet.host_ids) / len(self.carriers)
         if current is moves.Stage.LOADED:
-            share = moves.load_share(
+            share = exposure.load_share(
                 self._fleet.new_host_count, self._fleet.old_host_count
             )
             return min(_MAX_CARRIER_SHARE, share * scale)
         samples = self._judge.samples(route) + self._in_flight_by_route[route]
-        if moves.is_sample_wanted(samples):
+        if exposure.is_sample_wanted(samples):
             return _NEEDED_ROUTE_SHARE
-        planned = moves.NOMINAL_SHARE_OF_CAP * self.record.max_exposed_share
+        planned = exposure.NOMINAL_SHARE_OF_CAP * self.record.max_exposed_share
         return min(_NEEDED_ROUTE_SHARE, _TRICKLE_PART * planned * scale)
 
     def observe(self, outcome):
@@ -177,15 +180,28 @@
             self._has_adverse_news = False
             return self._tally.report(), has_adverse_news
 
-    def weigh(self, evidences, now):
-        """Weigh all hosts' evidence.
+    def weigh(self, fact_by_key, now):
+        """Weigh all hosts' evidence if there is news.
+
+        Parameters
+        ----------
+        fact_by_key : dict of str to peridothitch.ports.facts.Fact
+            Each with a `HostEvidence`.
+        now : datetime.datetime
 
         Returns
         -------
         Condemnation or None
             Set when the version is found to be worse.
         """
-        merged = evidence.merge(evidences)
+        sequences = {key: fact.sequence for key, fact in fact_by_key.items()}
+        if sequences == self._weighed:
+            return None
+        self._weighed = sequences
+        merged = evidence.merge(
+            msgspec.msgpack.decode(fact.value, type=evidence.HostEvidence)
+            for fact in fact_by_key.values()
+        )
         finding = self._judge.update(merged, self.record.elapsed(now))
         if finding is None:
             return None
@@ -209,7 +225,7 @@
             route
             for route in routes
             if self._judge.old_samples(route)
-            and moves.is_sample_wanted(self._judge.samples(route))
+            and exposure.is_sample_wanted(self._judge.samples(route))
         )
         condemned = self.condemnation.describe() if self.condemnation else ""
         return moves.Weighing(
--- a/src/peridothitch/gateway/moves.py
+++ b/src/peridothitch/gateway/moves.py
@@ -13,7 +13,7 @@
 from peridothitch import errors
 from peridothitch.coordination import verdicts
 from peridothitch.gateway import active_move, move_decider
-from peridothitch.policy import evidence, moves
+from peridothitch.policy import moves
 from peridothitch.ports import facts, outcomes, upstream
 
 __all__ = ["MoveKeeper"]
@@ -254,12 +254,12 @@
         if not active.is_carrier and not self._leadership.is_held():
             return
         move_id = active.record.move_id
-        evidences = [
-            msgspec.msgpack.decode(fact.value, type=evidence.HostEvidence)
+        fact_by_key = {
+            key: fact
             for key, fact in self._board.facts(_EVIDENCE_KIND).items()
             if key.startswith(f"{move_id}/")
-        ]
-        condemnation = active.weigh(evidences, self._clock.now())
+        }
+        condemnation = active.weigh(fact_by_key, self._clock.now())
         if condemnation is None or active.condemnation is not None:
             return
         value = msgspec.msgpack.encode(condemnation)
--- /dev/null
+++ b/src/peridothitch/policy/exposure.py
@@ -0,0 +1,111 @@
+"""How many requests go to a version that is not proved, and from which hosts."""
+
+import math
+
+import xxhash
+
+__all__ = [
+    "ExposureBudget",
+    "carrier_count",
+    "choose_carriers",
+    "is_sample_wanted",
+    "load_share",
+]
+
+NOMINAL_SHARE_OF_CAP = 0.75
+"""Part of the permitted exposure that is planned; the rest covers unequal hosts."""
+
+SAMPLES_PER_ROUTE = 40
+"""Attempts of the new version that are wanted on every route."""
+
+_MAX_LOAD_SHARE = 0.25
+_MIN_CARRIERS = 2
+_LOAD_RESERVE = 0.5
+
+
+def carrier_count(host_count, max_exposed_share):
+    """Return how many entry hosts send requests to an unproved version."""
+    wanted = math.ceil(2 * max_exposed_share * host_count)
+    return min(host_count, max(_MIN_CARRIERS, wanted))
+
+
+def choose_carriers(move_id, host_ids, max_exposed_share):
+    """Return the entry hosts that carry a move; equal wherever the hosts are equal."""
+
+    def rank(host_id):
+        return xxhash.xxh64_intdigest(f"{move_id}/{host_id}".encode()), host_id
+
+    count = carrier_count(len(host_ids), max_exposed_share)
+    return frozenset(sorted(host_ids, key=rank)[:count])
+
+
+def load_share(new_host_count, old_host_count):
+    """Return the share that loads hosts of the new version like those of the old."""
+    if not new_host_count:
+        return 0.0
+    share = new_host_count / (new_host_count + old_host_count)
+    return min(_MAX_LOAD_SHARE, share)
+
+
+def is_sample_wanted(samples):
+    """Return whether a route needs more attempts of the new version."""
+    return samples < SAMPLES_PER_ROUTE
+
+
+class ExposureBudget:
+    """Requests that one entry host may send to an unproved version.
+
+    Every request of the service earns a part of a request; half of what was earned is
+    kept for the times when the new version is loaded like the old one.
+
+    Parameters
+    ----------
+    max_exposed_share : float
+        Largest share over the whole fleet.
+    """
+
+    def __init__(self, max_exposed_share):
+        self._earned_per_request = NOMINAL_SHARE_OF_CAP * max_exposed_share
+        self._earned = 0.0
+        self._spread = 0
+        self._loaded = 0
+
+    @property
+    def spent(self):
+        """Requests sent to the new version."""
+        return self._spread + self._loaded
+
+    def earn(self, host_count, carriers):
+        """Add what one request of the service earns.
+
+        Parameters
+        ----------
+        host_count : int
+            Live entry hosts.
+        carriers : int
+            Entry hosts that carry the move.
+        """
+        self._earned += self._earned_per_request * host_count / carriers
+
+    def spend(self, loaded):
+        """Take one request out of the budget.
+
+        Parameters
+        ----------
+        loaded : bool
+            Whether the new version is being loaded like the old one.
+
+        Returns
+        -------
+        bool
+            Whether the request may go to the new version.
+        """
+        if self._earned - self.spent < 1.0:
+            return False
+        if loaded:
+            self._loaded += 1
+            return True
+        if self._earned * (1.0 - _LOAD_RESERVE) - self._spread < 1.0:
+            return False
+        self._spread += 1
+        return True
--- a/src/peridothitch/policy/moves.py
+++ b/src/peridothitch/policy/moves.py
@@ -1,50 +1,36 @@
-"""State machine and exposure schedule of a move from one version to another.
+"""State machine of a move from one version to another.
 
-Until a version is proved, its requests are paid from an `ExposureBudget`. Evidence is
-collected for most of the move's time, so that late faults show while few requests are
-exposed; then the traffic moves over in steps that are still watched.
+Evidence is collected for most of the move's time, so that late faults show while few
+requests are exposed; then the traffic moves over in steps that are still watched.
 """
 
 import datetime
 import enum
 import hashlib
-import math
 
 import msgspec
-import xxhash
 
 from peridothitch import errors
 from peridothitch.policy import document as documents
 
 __all__ = [
     "Close",
-    "ExposureBudget",
     "MoveRecord",
     "Outcome",
     "Prove",
     "Stage",
     "Weighing",
-    "carrier_count",
-    "choose_carriers",
     "decide",
     "find_move",
     "has_right_of_way",
     "identify",
     "is_ramp_over",
-    "is_sample_wanted",
-    "load_share",
     "open_record",
     "ramp_share",
     "stage",
     "version_in_force",
 ]
 
-NOMINAL_SHARE_OF_CAP = 0.75
-"""Part of the permitted exposure that is planned; the rest covers unequal hosts."""
-
-SAMPLES_PER_ROUTE = 40
-"""Attempts of the new version that are wanted on every route."""
-
 _LOAD_WINDOWS = ((0.40, 0.50), (0.70, 0.80))
 _RAMP_START = 0.80
 _LAST_PATIENT_START = 0.88
@@ -52,9 +38,6 @@
 _RAMP_SHARES = (0.1, 0.3, 0.7)
 _RAMP_STEP_OF_WINDOW = 0.025
 _RAMP_PART_OF_REST = 0.8
-_MAX_LOAD_SHARE = 0.25
-_MIN_CARRIERS = 2
-_LOAD_RESERVE = 0.5
 _HOLD_SUSPICION = 0.02
 _ID_LENGTH = 16
 
@@ -198,22 +181,6 @@
     )
 
 
-def carrier_count(host_count, max_exposed_share):
-    """Return how many entry hosts send requests to an unproved version."""
-    wanted = math.ceil(2 * max_exposed_share * host_count)
-    return min(host_count, max(_MIN_CARRIERS, wanted))
-
-
-def choose_carriers(move_id, host_ids, max_exposed_share):
-    """Return the entry hosts that carry a move; equal wherever the hosts are equal."""
-
-    def rank(host_id):
-        return xxhash.xxh64_intdigest(f"{move_id}/{host_id}"), host_id
-
-    count = carrier_count(len(host_ids), max_exposed_share)
-    return frozenset(sorted(host_ids, key=rank)[:count])
-
-
 def stage(record, now):
     """Return the `Stage` of a move that was not condemned."""
     if record.outcome is not None:
@@ -254,19 +221,6 @@
     return _RAMP_SHARES[max(0, step)]
 
 
-def load_share(new_host_count, old_host_count):
-    """Return the share that loads hosts of the new version like those of the old."""
-    if not new_host_count:
-        return 0.0
-    share = new_host_count / (new_host_count + old_host_count)
-    return min(_MAX_LOAD_SHARE, share)
-
-
-def is_sample_wanted(samples):
-    """Return whether a route needs more attempts of the new version."""
-    return samples < SAMPLES_PER_ROUTE
-
-
 def decide(record, move, weighing, now):
     """Return what the deciding host does next.
 
@@ -345,60 +299,6 @@
     )
 
 
-class ExposureBudget:
-    """Requests that one entry host may send to an unproved version.
-
-    Every request of the service earns a part of a request; half of what was earned is
-    kept for the times when the new version is loaded like the old one.
-
-    Parameters
-    ----------
-    max_exposed_share : float
-        Largest share over the whole fleet.
-    """
-
-    def __init__(self, max_exposed_share):
-        self._earned_per_request = NOMINAL_SHARE_OF_CAP * max_exposed_share
-        self._earned = 0.0
-        self._spread = 0
-        self._loaded = 0
-
-    @property
-    def spent(self):
-        """Requests sent to the new version."""
-        return self._spread + self._loaded
-
-    def earn(self, host_count, carriers):
-        """Add what one request of the service earns.
-
-        Parameters
-        ----------
-        host_count : int
-            Live entry hosts.
-        carriers : int
-            Entry hosts that carry the move.
-        """
-        self._earned += self._earned_per_request * host_count / carriers
-
-    def spend(self, current):
-        """Take one request out of the budget in a stage.
-
-        Returns
-        -------
-        bool
-            Whether the request may go to the new version.
-        """
-        if self._earned - self.spent < 1.0:
-            return False
-        if current is Stage.LOADED:
-            self._loaded += 1
-            return True
-        if self._earned * (1.0 - _LOAD_RESERVE) - self._spread < 1.0:
-            return False
-        self._spread += 1
-        return True
-
-
 def version_in_force(service, override):
     """Return the version that serves when no move is under way.
 
--- a/src/peridothitch/policy/tally.py
+++ b/src/peridothitch/policy/tally.py
@@ -137,7 +137,7 @@
 
     def _add_loss(self, outcome):
         window = int(outcome.ended.timestamp() / _LOSS_WINDOW.total_seconds())
-        mark = xxhash.xxh32_intdigest(f"{outcome.host_id}/{window}")
+        mark = xxhash.xxh32_intdigest(f"{outcome.host_id}/{window}".encode())
         if self._is_new(outcome):
             self._pending.append(
                 _Loss(outcome.ended, outcome.data_centre, outcome.request_id, mark)
