--- a/src/peridothitch/coordination/spending.py
+++ b/src/peridothitch/coordination/spending.py
@@ -12,6 +12,7 @@
 IDLE_TIME = datetime.timedelta(seconds=30)
 """Slices that were not used for this long are given back."""
 
+TIDY_INTERVAL = datetime.timedelta(seconds=5)
 RETRY_AFTER_STORE_FAILURE = datetime.timedelta(seconds=2)
 
 
@@ -148,9 +149,9 @@
         for holding in self._holdings.by_name().values():
             self._source.give_back(holding)
 
-    def run(self, stop, interval):
-        """Tidy every `interval` until the event `stop` is set."""
-        while not self._clock.wait(stop, interval):
+    def run(self, stop):
+        """Tidy until the event `stop` is set."""
+        while not self._clock.wait(stop, TIDY_INTERVAL):
             self.tidy()
 
     def _reserve_one(self, charge):
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -18,15 +18,23 @@
     claims,
     documents,
     feed,
+    ranking,
     slices,
     spending,
+    verdicts,
     watcher,
 )
-from peridothitch.gateway import admission, handler, peer_links, upstreams, versions
+from peridothitch.gateway import (
+    admission,
+    handler,
+    moves,
+    peer_links,
+    upstreams,
+    versions,
+)
 
 __all__ = ["EntryHost", "HostSettings"]
 
-_TIDY_INTERVAL = datetime.timedelta(seconds=5)
 _INCARNATION_BYTES = 4
 _BACKGROUND_THREADS = 64
 """More than the loops of one host, each of which keeps its thread."""
@@ -106,6 +114,7 @@
         self._view = upstreams.UpstreamView(host_list, clock, self.metrics)
         ledger = slices.SliceLedger(service, _incarnation(settings.host_id))
         self.book = spending.SpendingBook(ledger, self.fleet.peers, clock, self.metrics)
+        self.moves = self._make_moves(service, clock, random_source)
         gate = admission.SpendingGate(self.book, clock, self.metrics)
         self._handler = handler.RequestHandler(
             feed=self.feed,
@@ -116,12 +125,14 @@
             metrics=self.metrics,
             tracer=self._tracer,
             admission=gate,
-            version_picker=versions.VersionPicker(),
-            observers=(gate,),
+            version_picker=versions.VersionPicker(self.moves),
+            observers=(gate, self.moves),
             data_centre=settings.data_centre,
         )
         self._server = wsgi_front.WsgiServer(
-            wsgi_front.WsgiFront(self._handler, self.metrics),
+            wsgi_front.WsgiFront(
+                self._handler, self.metrics, {"/v1/moves": self._report_moves}
+            ),
             settings.listen,
             settings.threads,
             settings.max_body_bytes,
@@ -130,6 +141,19 @@
             _BACKGROUND_THREADS, thread_name_prefix=f"{settings.host_id}-background"
         )
 
+    def _make_moves(self, service, clock, random_source):
+        return moves.MoveKeeper(
+            feed=self.feed,
+            view=self._view,
+            book=verdicts.MoveBook(service, self._settings.host_id),
+            board=self.fleet.facts,
+            peers=self.fleet.peers,
+            leadership=ranking.RankedLeadership(self.fleet.peers, "moves"),
+            clock=clock,
+            metrics=self.metrics,
+            generator=random_source,
+        )
+
     @property
     def port(self):
         """Port that callers connect to."""
@@ -140,12 +164,23 @@
         self.fleet.start(self._background, self._stop)
         self.feed.refresh()
         self._view.refresh()
-        self._background.submit(self.feed.run, self._stop)
-        self._background.submit(self._watcher.run, self._stop)
-        self._background.submit(self._view.run, self._stop)
-        self._background.submit(self.book.run, self._stop, _TIDY_INTERVAL)
+        for run in self._loops():
+            self._background.submit(run, self._stop)
         self._server.start()
 
+    def _report_moves(self):
+        return {"moves": self.moves.status()}
+
+    def _loops(self):
+        """Return what runs in the background until the host stops."""
+        return (
+            self.feed.run,
+            self._watcher.run,
+            self._view.run,
+            self.book.run,
+            self.moves.run,
+        )
+
     def stop(self):
         """Drain and stop.
 
