--- /dev/null
+++ b/features/steps/fairness_steps.py
@@ -0,0 +1,276 @@
+import contextlib
+import datetime
+import threading
+
+import behave
+import hypothesis
+import processes
+from hypothesis import strategies
+
+from peridothitch import errors
+from peridothitch.adapters import metrics, system_clock
+from peridothitch.gateway import admission, jobs, turns
+from peridothitch.policy import document as documents
+from peridothitch.policy import fairness, routes
+from peridothitch.ports import messages
+
+FAR = datetime.timedelta(days=1)
+NOW = datetime.timedelta(0)
+MAX_TOKENS = 500
+SERVICE = "assistant"
+PRIORITIES = list(documents.Priority)
+
+
+def _ticket(customer, tokens=100, weight=1, priority=documents.Priority.NORMAL):
+    return fairness.Ticket(
+        customer=customer,
+        weight=weight,
+        tokens=tokens,
+        priority=priority,
+        deadline=FAR,
+    )
+
+
+@hypothesis.given(
+    strategies.lists(strategies.integers(1, MAX_TOKENS), min_size=40, max_size=40),
+    strategies.integers(1, 4),
+    strategies.integers(1, 4),
+)
+def _share_by_weight(sizes, first_weight, second_weight):
+    queue = fairness.FairQueue(len(sizes) * 2)
+    weight_by_customer = {"first": first_weight, "second": second_weight}
+    for customer, weight in weight_by_customer.items():
+        for tokens in sizes:
+            queue.add(_ticket(customer, tokens, weight))
+    waiting = dict.fromkeys(weight_by_customer, len(sizes))
+    served = dict.fromkeys(weight_by_customer, 0.0)
+    while all(waiting.values()):
+        ticket, _ = queue.take(NOW)
+        waiting[ticket.customer] -= 1
+        served[ticket.customer] += ticket.tokens / ticket.weight
+        # Start-time fair queueing's bound: one request of each customer.
+        assert abs(served["first"] - served["second"]) <= 2 * MAX_TOKENS
+
+
+@behave.then(
+    "any two backlogged customers differ by a bounded number of tokens per weight"
+)
+def check_share(context):
+    _share_by_weight()
+
+
+ENDS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just("add"),
+            strategies.sampled_from(("a", "b", "c")),
+            strategies.integers(1, MAX_TOKENS),
+            strategies.sampled_from(PRIORITIES),
+            strategies.integers(1, 100),
+        ),
+        strategies.tuples(strategies.just("take"), strategies.integers(0, 100)),
+        strategies.tuples(strategies.just("discard"), strategies.integers(0, 30)),
+        strategies.tuples(strategies.just("correct"), strategies.integers(0, 2000)),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.given(ENDS)
+def _end_once(actions):
+    queue = fairness.FairQueue(8)
+    waiting, ended, started = [], [], []
+    for action, *arguments in actions:
+        if action == "add":
+            customer, tokens, priority, seconds = arguments
+            ticket = fairness.Ticket(
+                customer=customer,
+                weight=1,
+                tokens=tokens,
+                priority=priority,
+                deadline=datetime.timedelta(seconds=seconds),
+            )
+            waiting.append(ticket)
+            shed = queue.add(ticket)
+            gone = [] if shed is None else [shed]
+        elif action == "take":
+            now = datetime.timedelta(seconds=arguments[0])
+            taken, expired = queue.take(now)
+            assert all(late.deadline <= now for late in expired)
+            gone = [*expired] if taken is None else [taken, *expired]
+            started += [] if taken is None else [taken]
+        elif action == "discard":
+            gone = waiting[arguments[0] : arguments[0] + 1]
+            for ticket in gone:
+                queue.discard(ticket)
+        else:
+            gone = []
+            if started:
+                queue.correct(started.pop(), arguments[0])
+        for ticket in gone:
+            waiting.remove(ticket)
+            ended.append(ticket)
+        assert len(queue) == len(waiting) <= 8
+    assert len({id(ticket) for ticket in ended}) == len(ended)
+
+
+@behave.then(
+    "each generated request is started, shed, expired or discarded exactly once"
+)
+def check_ends(context):
+    _end_once()
+
+
+@behave.when(
+    "a large customer fills a queue of {capacity:d} requests and a small one asks once"
+)
+def flood(context, capacity):
+    context.queue = fairness.FairQueue(capacity)
+    for _ in range(capacity):
+        assert context.queue.add(_ticket("large")) is None
+    context.shed = context.queue.add(_ticket("small"))
+
+
+@behave.then("the shed request is the large customer's and the small one starts next")
+def check_flood(context):
+    assert context.shed.customer == "large"
+    context.queue.take(NOW)
+    ticket, _ = context.queue.take(NOW)
+    assert ticket.customer == "small", ticket
+
+
+@behave.when(
+    "a customer asks urgently {count:d} times and another one asks normally once"
+)
+def ask_urgently(context, count):
+    context.queue = fairness.FairQueue(count + 1)
+    for _ in range(count):
+        context.queue.add(_ticket("urgent", priority=documents.Priority.URGENT))
+    context.queue.add(_ticket("other"))
+
+
+@behave.then("the other customer's request starts within the head start of a priority")
+def check_head_start(context):
+    tokens = 0
+    while True:
+        ticket, _ = context.queue.take(NOW)
+        if ticket.customer == "other":
+            break
+        tokens += ticket.tokens
+    bound = fairness.HEAD_START_TOKENS[documents.Priority.URGENT] + 2 * ticket.tokens
+    assert 0 < tokens <= bound, tokens
+
+
+def _job(caller_gone=lambda: False):
+    route = documents.Route(method="POST", path="/", service=SERVICE)
+    document = documents.Document(
+        customer_by_name={"example": documents.Customer(key_sha256=[])}
+    )
+    return jobs.Job(
+        request=messages.Request(method="POST", path="/", caller_gone=caller_gone),
+        document=document,
+        match=routes.RouteMatch("chat", route),
+        customer="example",
+        request_id="request",
+        key="key",
+        deadline=FAR * 10_000,
+    )
+
+
+class _Callers:
+    """Callers in threads, each of which runs until it is told to end."""
+
+    def __init__(self, gate):
+        self.gate = gate
+        self.lock = threading.Lock()
+        self.running = 0
+        self.most_running = 0
+        self.done = 0
+        self.codes = []
+        self.threads = []
+        self.may_end = threading.Event()
+
+    def start(self, job):
+        thread = threading.Thread(target=self._run, args=(job,))
+        self.threads.append(thread)
+        thread.start()
+
+    def _run(self, job):
+        try:
+            with self.gate.admit(job):
+                with self.lock:
+                    self.running += 1
+                    self.most_running = max(self.most_running, self.running)
+                self.may_end.wait()
+                with self.lock:
+                    self.running -= 1
+                    self.done += 1
+        except errors.RequestError as error:
+            assert error.ran is errors.Ran.NO
+            with self.lock:
+                self.codes.append(error.code)
+
+
+@behave.given("a fair gate with room for {room:d} request and a queue of {capacity:d}")
+def make_gate(context, room, capacity):
+    original = turns.QUEUE_CAPACITY
+    turns.QUEUE_CAPACITY = capacity
+    context.add_cleanup(setattr, turns, "QUEUE_CAPACITY", original)
+    gate = turns.FairGate(
+        admission.Admission(),
+        lambda service: room,
+        system_clock.SystemClock(),
+        metrics.Metrics(),
+    )
+    context.callers = _Callers(gate)
+
+
+@behave.when("one request runs and {count:d} more of the same customer arrive")
+def arrive(context, count):
+    callers = context.callers
+    callers.start(_job())
+    processes.wait_until(lambda: callers.running == 1)
+    for _ in range(count):
+        callers.start(_job())
+    processes.wait_until(
+        lambda: len(callers.codes) + callers.gate.waiting_count(SERVICE) == count
+    )
+
+
+@behave.then('{count:d} of them are refused with code {code:d} and ran "no"')
+def check_shed(context, count, code):
+    assert context.callers.codes == [errors.Code(code)] * count
+
+
+@behave.then("the others run one after the other when the first one ends")
+def check_one_by_one(context):
+    callers = context.callers
+    callers.may_end.set()
+    for thread in callers.threads:
+        thread.join()
+    assert callers.done == 4, callers.done
+    assert callers.most_running == 1, callers.most_running
+
+
+@behave.when("one request runs and the caller of a waiting request leaves")
+def leave(context):
+    callers = context.callers
+    gone = threading.Event()
+    callers.start(_job())
+    processes.wait_until(lambda: callers.running == 1)
+    callers.start(_job(gone.is_set))
+    processes.wait_until(lambda: callers.gate.waiting_count(SERVICE) == 1)
+    gone.set()
+    processes.wait_until(lambda: callers.codes)
+
+
+@behave.then("nobody waits and nothing is left behind")
+def check_nothing_left(context):
+    callers = context.callers
+    assert callers.gate.waiting_count(SERVICE) == 0
+    callers.may_end.set()
+    for thread in callers.threads:
+        thread.join()
+    with contextlib.ExitStack() as scope:
+        scope.enter_context(callers.gate.admit(_job()))
+    assert callers.done == 1
