--- a/src/peridothitch/cli/main.py
+++ b/src/peridothitch/cli/main.py
@@ -11,7 +11,7 @@
 __all__ = ["cli", "main"]
 
 EXIT_FAILURE = 1
-_COMMANDS = ("config", "run", "serve", "standin", "status")
+_COMMANDS = ("bill", "config", "run", "serve", "standin", "status")
 
 
 class _LazyGroup(click.Group):
--- a/src/peridothitch/gateway/admission.py
+++ b/src/peridothitch/gateway/admission.py
@@ -6,6 +6,7 @@
 
 from peridothitch import errors
 from peridothitch.coordination import spending
+from peridothitch.policy import bill
 from peridothitch.policy import spending as prices
 from peridothitch.ports import outcomes
 
@@ -25,11 +26,14 @@
         Whether an upstream executed it, or may have.
     prompt_tokens, completion_tokens : int
         Tokens that the customer pays for.
+    recomputed_tokens : int
+        Tokens computed again after a failure; the system pays for them.
     """
 
     ran: bool = False
     prompt_tokens: int = 0
     completion_tokens: int = 0
+    recomputed_tokens: int = 0
 
 
 class Admission:
@@ -90,10 +94,12 @@
     book : peridothitch.coordination.spending.SpendingBook
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
+    recorder : peridothitch.coordination.usage.UsageRecorder
     """
 
-    def __init__(self, book, clock, metrics):
+    def __init__(self, book, clock, metrics, recorder):
         self._book = book
+        self._recorder = recorder
         self._clock = clock
         self._metrics = metrics
         self._usage_by_request_id = {}
@@ -124,6 +130,23 @@
         labels = {"customer": job.customer, "route": job.match.name}
         self._metrics.count("charged_micros", charged, **labels)
         self._metrics.count("completion_tokens", usage.completion_tokens, **labels)
+        self._record(job, usage, charged)
+
+    def _record(self, job, usage, charged):
+        if not usage.ran:
+            return
+        tokens = usage.prompt_tokens + usage.completion_tokens
+        self._recorder.add(
+            bill.UsageKey(job.customer, job.match.name, bill.Cause.ANSWER.value),
+            bill.Usage(1, tokens, charged),
+        )
+        if usage.recomputed_tokens:
+            self._recorder.add(
+                bill.UsageKey(
+                    job.customer, job.match.name, bill.Cause.RECOMPUTED.value
+                ),
+                bill.Usage(0, usage.recomputed_tokens, 0),
+            )
 
 
 def _cost(document, usage, charge):
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -21,6 +21,7 @@
     ranking,
     slices,
     spending,
+    usage,
     verdicts,
     watcher,
 )
@@ -112,10 +113,12 @@
             document_store, self.feed, clock, self.metrics, random_source
         )
         self._view = upstreams.UpstreamView(host_list, clock, self.metrics)
-        ledger = slices.SliceLedger(service, _incarnation(settings.host_id))
+        incarnation = _incarnation(settings.host_id)
+        ledger = slices.SliceLedger(service, incarnation)
+        self._usage = usage.UsageRecorder(service, incarnation, clock, self.metrics)
         self.book = spending.SpendingBook(ledger, self.fleet.peers, clock, self.metrics)
         self.moves = self._make_moves(service, clock, random_source)
-        gate = admission.SpendingGate(self.book, clock, self.metrics)
+        gate = admission.SpendingGate(self.book, clock, self.metrics, self._usage)
         self._handler = handler.RequestHandler(
             feed=self.feed,
             view=self._view,
@@ -178,6 +181,7 @@
             self._watcher.run,
             self._view.run,
             self.book.run,
+            self._usage.run,
             self.moves.run,
         )
 
