Spread the document by watches, gossip and fetches between peers

Two relays for each data centre watch the head key; the revision spreads as a fact and the others fetch changed sections along a tree, as a compressed difference. Every host reads the store itself when nobody has confirmed the revision for some time. The head holds the last 32 edits with their nonces, so an edit whose reply was lost is recognized; without a base an edit that meets another one of the same section is refused with both texts.

The etcd client's watch never worked: the connection had dropped its socket before the first poll.

--- /dev/null
+++ b/features/fake_documents.py
@@ -0,0 +1,250 @@
+"""A fake fleet whose hosts follow the operators' document, and faults to strike it."""
+
+import datetime
+import functools
+import random
+
+import fake_network
+
+from peridothitch import errors
+from peridothitch.adapters import document_file, memory_store
+from peridothitch.coordination import documents, feed, member_keys, watcher
+from peridothitch.gateway import embedded
+from peridothitch.standins import faulty_store
+
+ROUTE = "r{0}: {{method: GET, path: /r{0}, service: ticketing}}\n"
+NO_WAIT = datetime.timedelta(0)
+SLOW = datetime.timedelta(milliseconds=300)
+KEYS_PERIOD_STEPS = 60
+Fault = faulty_store.Fault
+
+
+class PollingFeed:
+    """Reads the whole document from the store every second and asks nobody."""
+
+    def __init__(self, document_store, *others):
+        self._document_store = document_store
+        self._document = None
+
+    @property
+    def revision(self):
+        return self._document.revision if self._document is not None else 0
+
+    def current(self):
+        return self._document
+
+    def refresh(self):
+        try:
+            document = self._document_store.load().document
+        except errors.StoreError:
+            return
+        if document.revision > self.revision:
+            self._document = document
+
+    step = refresh
+
+    def is_relay(self):
+        return False
+
+
+class CachingCodec(document_file.YamlCodec):
+    """Parses each text once for all hosts."""
+
+    parse_section = functools.cache(document_file.YamlCodec.parse_section)
+    parse_document = functools.cache(document_file.YamlCodec.parse_document)
+
+
+class DocumentFleet(fake_network.FakeFleet):
+    """Hosts with a feed, and a store whose calls can be struck."""
+
+    def __init__(self, count, seed, feed_type=feed.DocumentFeed, data_centres=3):
+        self.feed_type = feed_type
+        self.feed_by_id = {}
+        self.watcher_by_id = {}
+        self.keys_by_id = {}
+        self.store_by_id = {}
+        self.busy_until_by_id = {}
+        self.highest_by_id = {}
+        self.store = None
+        super().__init__(0, seed, data_centres)
+        inner = memory_store.MemoryStore(self.clock)
+        self.store = faulty_store.FaultyStore(inner, self.clock)
+        self.codec = CachingCodec()
+        self.operator = documents.DocumentStore(self.store, self.codec)
+        self.operator.create(embedded.EXAMPLE_DOCUMENT)
+        self.accepted = 1
+        for _ in range(count):
+            self.add()
+
+    def add(self, seeds=None, cut_from_store=False):
+        host_id = super().add(seeds)
+        node = self.node_by_id[host_id]
+        service = faulty_store.FaultyStore(self.store, self.clock)
+        self.store_by_id[host_id] = service
+        if cut_from_store:
+            self.cut_from_store(host_id)
+        document_store = documents.DocumentStore(service, self.codec)
+        source = random.Random(self.random.random())
+        self.feed_by_id[host_id] = host_feed = self.feed_type(
+            document_store,
+            self.codec,
+            self.clock,
+            node.metrics,
+            node.membership,
+            node.gossip,
+            source,
+        )
+        self.watcher_by_id[host_id] = watcher.HeadWatcher(
+            document_store, host_feed, self.clock, node.metrics, source
+        )
+        self.keys_by_id[host_id] = member_keys.MemberKeys(
+            service,
+            node.membership.members()[host_id],
+            node.membership,
+            self.clock,
+            node.metrics,
+            source,
+        )
+        self.keys_by_id[host_id].refresh()
+        node.membership.tick()
+        host_feed.refresh()
+        return host_id
+
+    def cut_from_store(self, host_id):
+        self.store_by_id[host_id].inject(faulty_store.FaultRule(fault=Fault.DOWN))
+
+    def heal(self):
+        super().heal()
+        self.store.clear()
+        for service in self.store_by_id.values():
+            service.clear()
+
+    def step(self):
+        super().step()
+        now = self.clock.elapsed
+        for host_id in sorted(self.live()):
+            if self.busy_until_by_id.get(host_id, now) <= now:
+                self._step_host(host_id)
+                # A slow call holds up the host that made it and nobody else.
+                self.busy_until_by_id[host_id] = self.clock.elapsed
+                self.clock.elapsed = now
+
+    def _step_host(self, host_id):
+        host_feed = self.feed_by_id[host_id]
+        if host_feed.is_relay():
+            self.watcher_by_id[host_id].step(NO_WAIT)
+        host_feed.step()
+        if self.steps % KEYS_PERIOD_STEPS == 0:
+            self.keys_by_id[host_id].refresh()
+        self._check_revision(host_id)
+
+    def _check_revision(self, host_id):
+        revision = self.feed_by_id[host_id].revision
+        assert revision >= self.highest_by_id.get(host_id, 0), "a revision fell"
+        assert revision <= self.accepted, "a revision that nobody accepted"
+        self.highest_by_id[host_id] = revision
+        document = self.feed_by_id[host_id].current()
+        if revision > 1:
+            assert f"r{revision}" in document.route_by_name, "another document"
+
+    def edit(self):
+        """Add a route named after the next revision; returns whether it was accepted.
+
+        An edit whose outcome is unclear counts as made and not as accepted.
+        """
+        head = self.store._inner.get(documents.HEAD_KEY)
+        next_revision = documents.decode_head(head.value).revision + 1
+        self.accepted = max(self.accepted, next_revision)
+        try:
+            revision = self.operator.edit("routes", ROUTE.format(next_revision), "")
+        except errors.StoreError:
+            return False
+        assert revision == next_revision, (revision, next_revision)
+        return True
+
+    def lacking(self, host_ids):
+        """Return those hosts whose revision is not the stored one."""
+        head = self.store._inner.get(documents.HEAD_KEY)
+        stored = documents.decode_head(head.value).revision
+        return {
+            host_id
+            for host_id in host_ids
+            if self.feed_by_id[host_id].revision != stored
+        }
+
+
+class Faults:
+    """Strikes one fleet; remembers which hosts can't be expected to follow.
+
+    Hosts that are cut off from the store alone have their peers, and the other way
+    round.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.without_store = set()
+        self.without_peers = set()
+
+    def strike(self, name):
+        getattr(self, f"strike_{name}")()
+
+    def reachable(self):
+        """Return the running hosts that reach the store or their peers."""
+        return self.fleet.live() - (self.without_store & self.without_peers)
+
+    def _choose(self):
+        return self.fleet.random.choice(sorted(self.fleet.live()))
+
+    def _inject(self, fault, **options):
+        self.fleet.store.inject(faulty_store.FaultRule(fault=fault, **options))
+
+    def strike_store_down(self):
+        self._inject(Fault.DOWN)
+        self.without_store |= set(self.fleet.node_by_id)
+
+    def strike_store_slow(self):
+        self._inject(Fault.SLOW, delay=SLOW, methods=frozenset({"range", "txn"}))
+
+    def strike_reply_lost(self):
+        self._inject(Fault.REPLY_LOST, methods=frozenset({"txn"}), count=1)
+
+    def strike_request_lost(self):
+        self._inject(Fault.REQUEST_LOST, methods=frozenset({"txn"}), count=1)
+
+    def strike_watch_silent(self):
+        self._inject(Fault.WATCH_SILENT, methods=frozenset({"watch_poll"}))
+
+    def strike_lease_lapsed(self):
+        self.fleet.store.lapse_leases()
+
+    def strike_killed(self):
+        self.fleet.kill(self._choose())
+
+    def strike_frozen(self):
+        self.fleet.freeze(self._choose())
+
+    def strike_split_from_peers(self):
+        host_id = self._choose()
+        group = self.fleet.network.group_by_address
+        group[self.fleet.node_by_id[host_id].transport.address] = len(group) + 1
+        self.without_peers.add(host_id)
+
+    def strike_split_from_store(self):
+        host_id = self._choose()
+        self.fleet.cut_from_store(host_id)
+        self.without_store.add(host_id)
+
+    def strike_joined_with_old_view(self):
+        self.fleet.edit()
+        first = sorted(self.fleet.live())[0]
+        address = self.fleet.node_by_id[first].transport.address
+        host_id = self.fleet.add(seeds=(address, "10.9.9.9:1"), cut_from_store=True)
+        self.without_store.add(host_id)
+        if first in self.without_peers:
+            # Its only seed is cut off from the others.
+            self.without_peers.add(host_id)
+
+
+FAULTS = tuple(
+    name.removeprefix("strike_") for name in sorted(vars(Faults)) if "strike_" in name
+)
--- a/src/peridothitch/adapters/document_file.py
+++ b/src/peridothitch/adapters/document_file.py
@@ -82,11 +82,9 @@
     node = _compose(text)
     plain = _to_plain(text)
     _validate(plain, schema(), node)
-    fields = {
-        _SECTION_BY_NAME[name].field: _convert(name, plain.get(name) or {})
-        for name in SECTIONS
-    }
-    document = documents.Document(revision=revision, **fields)
+    document = _build_document(
+        {name: _convert(name, plain.get(name) or {}) for name in SECTIONS}, revision
+    )
     try:
         documents.check_references(document)
     except errors.DocumentError as error:
@@ -126,6 +124,10 @@
         """Parse and check one section."""
         return parse_section(name, text)
 
+    def build_document(self, items_by_section, revision):
+        """Put the items of all sections together."""
+        return _build_document(items_by_section, revision)
+
     def join_sections(self, text_by_section):
         """Join the texts of sections."""
         return join_sections(text_by_section)
@@ -139,6 +141,13 @@
         }
 
 
+def _build_document(items_by_section, revision):
+    fields = {
+        _SECTION_BY_NAME[name].field: items for name, items in items_by_section.items()
+    }
+    return documents.Document(revision=revision, **fields)
+
+
 def _convert(name, plain):
     section = _SECTION_BY_NAME[name]
     try:
@@ -149,13 +158,16 @@
         ) from None
 
 
-class _Loader(yaml.SafeLoader):
+_SafeLoader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+class _Loader(_SafeLoader):
     """Safe loader that leaves times as text; the schema's types read them."""
 
 
 _Loader.yaml_implicit_resolvers = {
     first: [pair for pair in pairs if pair[0] != "tag:yaml.org,2002:timestamp"]
-    for first, pairs in yaml.SafeLoader.yaml_implicit_resolvers.items()
+    for first, pairs in _SafeLoader.yaml_implicit_resolvers.items()
 }
 
 
--- a/src/peridothitch/adapters/etcd_store.py
+++ b/src/peridothitch/adapters/etcd_store.py
@@ -130,6 +130,8 @@
             "start_revision": str(revision),
         }
         body = msgspec.json.encode({"create_request": create})
+        # The connection forgets its socket once the answer has no stated length.
+        self._sock = self._connection.sock
         try:
             self._connection.request("POST", _PATH_BY_METHOD["watch"], body, _JSON)
             self._response = self._connection.getresponse()
@@ -142,13 +144,13 @@
 
     def poll(self, timeout):
         try:
-            self._connection.sock.settimeout(timeout.total_seconds())
+            self._sock.settimeout(timeout.total_seconds())
             line = self._response.readline()
         except TimeoutError:
             # A buffered reader refuses further reads after a timeout.
             self.close()
             raise errors.StoreUnavailableError("watch: silent") from None
-        except (OSError, AttributeError, ValueError) as error:
+        except (OSError, ValueError) as error:
             raise errors.StoreUnavailableError(f"watch: {error!r}") from None
         if not line:
             raise errors.StoreUnavailableError("watch: ended")
@@ -159,6 +161,7 @@
         return tuple(_to_event(event) for event in result.get("events", ()))
 
     def close(self):
+        self._response.close()
         self._connection.close()
 
 
--- /dev/null
+++ b/src/peridothitch/coordination/document_messages.py
@@ -0,0 +1,110 @@
+"""What hosts ask each other about the operators' document."""
+
+import msgspec
+
+from peridothitch.coordination import deltas, documents, heads
+
+__all__ = [
+    "FETCH",
+    "Fetch",
+    "FetchReply",
+    "REPORT",
+    "Report",
+    "answer_fetch",
+    "join_reply",
+]
+
+FETCH = "document.fetch"
+REPORT = "document.report"
+
+
+class Fetch(msgspec.Struct, frozen=True, array_like=True):
+    """Request for what is newer than the asking host's document.
+
+    Attributes
+    ----------
+    revision : int
+        Revision that the asking host holds, 0 for none.
+    digest_by_section : dict of str to str
+    """
+
+    revision: int
+    digest_by_section: dict[str, str]
+
+
+class FetchReply(msgspec.Struct, frozen=True, array_like=True):
+    """Answer to `Fetch`.
+
+    Attributes
+    ----------
+    head : peridothitch.coordination.heads.Head or None
+        None when the answering host has nothing newer.
+    delta_by_section : dict of str to peridothitch.coordination.deltas.Delta
+        Changed sections, from the text whose digest was sent, else from nothing.
+    """
+
+    head: heads.Head | None = None
+    delta_by_section: dict[str, deltas.Delta] = {}
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True):
+    """What a host says of its document.
+
+    Attributes
+    ----------
+    host_id : str
+    revision : int
+        Revision in force, 0 for none.
+    confirmed_seconds : float
+        Time since the host last knew that there was nothing newer.
+    release : str
+        Version of the program.
+    rejected_revision : int
+        Newer revision that this host can't read, 0 for none.
+    """
+
+    host_id: str
+    revision: int
+    confirmed_seconds: float
+    release: str = ""
+    rejected_revision: int = 0
+
+
+def answer_fetch(fetch, snapshot, text_by_digest):
+    """Return the `FetchReply` to a `Fetch`.
+
+    Parameters
+    ----------
+    fetch : Fetch
+    snapshot : peridothitch.coordination.documents.Snapshot or None
+    text_by_digest : dict of str to str
+        Older texts that deltas can be made from.
+    """
+    if snapshot is None or snapshot.head.revision <= fetch.revision:
+        return FetchReply()
+    delta_by_section = {}
+    for name, mark in snapshot.head.mark_by_section.items():
+        digest = fetch.digest_by_section.get(name, "")
+        if digest == mark.digest:
+            continue
+        old = text_by_digest.get(digest, "")
+        delta_by_section[name] = deltas.make_delta(old, snapshot.text_by_section[name])
+    return FetchReply(snapshot.head, delta_by_section)
+
+
+def join_reply(known, reply):
+    """Return the `Snapshot` that a reply makes of a known one, None if it can't.
+
+    A delta without kept bytes needs no old text.
+    """
+    text_by_section = {}
+    for name in reply.head.mark_by_section:
+        old = known.text_by_section.get(name, "") if known is not None else ""
+        delta = reply.delta_by_section.get(name)
+        try:
+            text = old if delta is None else deltas.apply_delta(old, delta)
+        except ValueError:
+            return None
+        text_by_section[name] = text
+    snapshot = documents.Snapshot(reply.head, text_by_section)
+    return snapshot if snapshot.is_whole() else None
--- a/src/peridothitch/coordination/documents.py
+++ b/src/peridothitch/coordination/documents.py
@@ -1,23 +1,50 @@
 """The operators' document in the platform's store.
 
-Each section is one key. An edit replaces one section in a transaction that compares all
-sections, so that references between sections are checked against what is stored.
+Each section is one key and the head is another. An edit replaces one section and the
+head in a transaction that compares the head, so that references between sections are
+checked against what is stored and the edits form one sequence.
 """
 
 import dataclasses
-import hashlib
-import threading
+import secrets
+
+import msgspec
 
 from peridothitch import errors
+from peridothitch.coordination import heads
 from peridothitch.policy import document as documents
 from peridothitch.ports import store
 
-__all__ = ["DocumentFeed", "DocumentStore", "StoredDocument"]
+__all__ = ["DocumentStore", "HEAD_KEY", "Snapshot", "StoredDocument"]
 
 _PREFIX = "/peridothitch/document/"
-_HEAD = _PREFIX + "head"
+HEAD_KEY = _PREFIX + "head"
 _SECTION_PREFIX = _PREFIX + "section/"
 _MAX_ATTEMPTS = 8
+_NONCE_BYTES = 9
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """A whole document as text.
+
+    Attributes
+    ----------
+    head : peridothitch.coordination.heads.Head
+    text_by_section : dict of str to str
+        YAML text of each section; the digests match the head's.
+    """
+
+    head: heads.Head
+    text_by_section: dict
+
+    def is_whole(self):
+        """Return whether every section is the one that the head means."""
+        marks = self.head.mark_by_section
+        return set(marks) == set(self.text_by_section) and all(
+            heads.digest_text(self.text_by_section[name]) == mark.digest
+            for name, mark in marks.items()
+        )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,13 +56,16 @@
     document : peridothitch.policy.document.Document
     text_by_section : dict of str to str
         YAML text of each section.
-    mod_revision_by_key : dict of str to int
-        Revisions that an edit compares.
+    head : peridothitch.coordination.heads.Head or None
+        None when nothing is stored.
+    head_mod_revision : int
+        Store revision that an edit compares.
     """
 
     document: documents.Document
     text_by_section: dict
-    mod_revision_by_key: dict
+    head: heads.Head | None
+    head_mod_revision: int
 
 
 class DocumentStore:
@@ -55,16 +85,85 @@
     def load(self):
         """Return the `StoredDocument`; an empty one when nothing is stored."""
         found = self._store.range(_PREFIX)
-        text_by_section = {}
-        for key, item in found.item_by_key.items():
-            if key.startswith(_SECTION_PREFIX):
-                text_by_section[key[len(_SECTION_PREFIX) :]] = item.value.decode()
-        head = found.item_by_key.get(_HEAD)
+        texts = _texts(found.item_by_key)
+        item = found.item_by_key.get(HEAD_KEY)
+        head = decode_head(item.value) if item is not None else None
         document = self._codec.parse_document(
-            self._codec.join_sections(text_by_section), head.version if head else 0
+            self._codec.join_sections(texts), head.revision if head else 0
         )
-        revisions = {key: item.mod_revision for key, item in found.item_by_key.items()}
-        return StoredDocument(document, text_by_section, revisions)
+        return StoredDocument(document, texts, head, item.mod_revision if item else 0)
+
+    def read_newer(self, known):
+        """Read the document if it is newer than a known one.
+
+        Parameters
+        ----------
+        known : Snapshot or None
+
+        Returns
+        -------
+        tuple of (Snapshot or None, int)
+            A newer document or None, and the stored revision, 0 for none.
+
+        Raises
+        ------
+        peridothitch.errors.StoreError
+        """
+        if known is None:
+            return self._read_whole()
+        for _ in range(_MAX_ATTEMPTS):
+            item = self._store.get(HEAD_KEY)
+            if item is None:
+                return None, 0
+            head = decode_head(item.value)
+            if head.revision <= known.head.revision:
+                return None, head.revision
+            snapshot = Snapshot(head, self._changed_texts(head, known))
+            if snapshot.is_whole():
+                return snapshot, head.revision
+        raise errors.StoreUnavailableError("the document changes too often to be read")
+
+    def _read_whole(self):
+        found = self._store.range(_PREFIX)
+        item = found.item_by_key.get(HEAD_KEY)
+        if item is None:
+            return None, 0
+        head = decode_head(item.value)
+        snapshot = Snapshot(head, _texts(found.item_by_key))
+        if not snapshot.is_whole():
+            raise errors.StoreUnavailableError("the stored sections don't match")
+        return snapshot, head.revision
+
+    def _changed_texts(self, head, known):
+        text_by_section = dict(known.text_by_section)
+        for name, mark in head.mark_by_section.items():
+            old = known.head.mark_by_section.get(name)
+            if old is not None and old.digest == mark.digest:
+                continue
+            item = self._store.get(_SECTION_PREFIX + name)
+            text_by_section[name] = item.value.decode() if item is not None else ""
+        return text_by_section
+
+    def open_watch(self):
+        """Watch the head.
+
+        Returns
+        -------
+        tuple of (int, peridothitch.ports.store.Watch)
+            The stored revision, 0 for none, and a watch of what comes after it.
+        """
+        found = self._store.range(HEAD_KEY)
+        item = found.item_by_key.get(HEAD_KEY)
+        revision = decode_head(item.value).revision if item is not None else 0
+        return revision, self._store.watch(HEAD_KEY, found.revision + 1)
+
+    def poll_watch(self, watch, timeout):
+        """Return the revisions that a watch of the head tells of next."""
+        return [
+            decode_head(event.item.value).revision
+            for event in watch.poll(timeout)
+            if event.item.key == HEAD_KEY and not event.deleted
+        ]
 
     def create(self, text):
         """Store the first document.
@@ -76,18 +175,27 @@
         """
         self._codec.parse_document(text)
         text_by_section = self._codec.split_sections(text)
-        compares = [store.Compare(_HEAD, store.Target.CREATE, 0)]
+        nonce = secrets.token_urlsafe(_NONCE_BYTES)
+        head = heads.Head.first(text_by_section, nonce)
+        compares = [store.Compare(HEAD_KEY, store.Target.CREATE, 0)]
         writes = [
             store.Put(_SECTION_PREFIX + name, section.encode())
             for name, section in text_by_section.items()
         ]
-        writes.append(store.Put(_HEAD, b"created"))
-        if not self._store.transact(compares, writes).succeeded:
+        writes.append(store.Put(HEAD_KEY, msgspec.json.encode(head)))
+        try:
+            created = self._store.transact(compares, writes).succeeded
+        except errors.StoreUnclearError:
+            item = self._store.get(HEAD_KEY)
+            if item is None:
+                raise
+            created = decode_head(item.value).revision_of(nonce) is not None
+        if not created:
             raise errors.DocumentError(
                 errors.Code.SECTION_CONFLICT, "a document is stored already"
             )
 
-    def edit(self, name, text, key_digest, base=None):
+    def edit(self, name, text, key_digest, base=None, base_revision=None):
         """Replace one section.
 
         Parameters
@@ -99,7 +207,9 @@
         key_digest : str
             SHA-256 digest of the editor's key, in hex.
         base : str or None
-            Text that the edit was made from; None skips the check for other edits.
+            Text that the edit was made from.
+        base_revision : int or None
+            Revision of the document that the edit was made from.
 
         Returns
         -------
@@ -110,35 +220,65 @@
         ------
         peridothitch.errors.DocumentError
             The edit was rejected; nothing was changed.
-        peridothitch.errors.StoreError
-            The store did not take the edit, or it is unclear.
+        peridothitch.errors.StoreUnavailableError
+            The store did not take the edit.
+        peridothitch.errors.StoreUnclearError
+            The edit may have been accepted; repeating it is harmless.
         """
         self._codec.parse_section(name, text)
+        nonce = secrets.token_urlsafe(_NONCE_BYTES)
+        unclear_since = None
         for _ in range(_MAX_ATTEMPTS):
-            stored = self.load()
+            stored = self._load_for_edit(unclear_since)
+            accepted = stored.head.revision_of(nonce)
+            if accepted is not None:
+                return accepted
+            if stored.text_by_section.get(name) == text:
+                return stored.head.revision
             self._check_owner(stored, name, key_digest)
-            self._check_base(stored, name, text, base)
+            if base is None:
+                # Without a base, edits of the same section that come in between while
+                # this one is retried are conflicts too.
+                base = stored.text_by_section.get(name, "")
+            self._check_base(stored, name, text, base, base_revision)
             sections = stored.text_by_section | {name: text}
             self._codec.parse_document(self._codec.join_sections(sections))
-            result = self._write(stored, name, text)
-            if result.succeeded:
-                return stored.document.revision + 1
+            try:
+                if self._write(stored, name, text, nonce):
+                    return stored.head.revision + 1
+            except errors.StoreUnclearError:
+                unclear_since = stored.head.revision
         raise errors.DocumentError(
             errors.Code.SECTION_CONFLICT, "too many edits at the same time", name
         )
 
-    def _write(self, stored, name, text):
-        section_keys = [_SECTION_PREFIX + other for other in self._codec.sections]
-        compares = [
-            store.Compare(key, store.Target.MOD, stored.mod_revision_by_key.get(key, 0))
-            for key in (_HEAD, *section_keys)
-        ]
-        digest = hashlib.sha256(text.encode()).hexdigest()
+    def _load_for_edit(self, unclear_since):
+        try:
+            stored = self.load()
+        except errors.StoreError as error:
+            if unclear_since is None:
+                raise
+            raise errors.StoreUnclearError(
+                f"the edit may have been accepted: {error.detail}"
+            ) from None
+        if stored.head is None:
+            raise errors.DocumentError(
+                errors.Code.UNKNOWN_SECTION, "no document is stored; create one first"
+            )
+        if unclear_since is not None and not stored.head.reaches_back_to(unclear_since):
+            raise errors.StoreUnclearError(
+                "the edit may have been accepted; later edits hide it"
+            )
+        return stored
+
+    def _write(self, stored, name, text, nonce):
+        head = stored.head.after(name, text, nonce)
+        compare = store.Compare(HEAD_KEY, store.Target.MOD, stored.head_mod_revision)
         writes = [
             store.Put(_SECTION_PREFIX + name, text.encode()),
-            store.Put(_HEAD, f"{name} {digest}".encode()),
+            store.Put(HEAD_KEY, msgspec.json.encode(head)),
         ]
-        return self._store.transact(compares, writes)
+        return self._store.transact([compare], writes).succeeded
 
     def _check_owner(self, stored, name, key_digest):
         owners = stored.document.owner_by_section
@@ -148,56 +288,41 @@
                 errors.Code.NOT_SECTION_OWNER, f"the key may not edit {name}", name
             )
 
-    def _check_base(self, stored, name, text, base):
+    def _check_base(self, stored, name, text, base, base_revision):
         current = stored.text_by_section.get(name, "")
-        if base is None or current in (base, text):
+        mark = stored.head.mark_by_section.get(name)
+        is_newer = (
+            base_revision is not None
+            and mark is not None
+            and mark.revision > base_revision
+        )
+        if current == base and not is_newer:
             return
         raise errors.DocumentError(
             errors.Code.SECTION_CONFLICT,
-            f"theirs:\n{current}\nyours:\n{text}",
+            f"theirs (revision {mark.revision if mark else 0}):\n{current}\n"
+            f"yours:\n{text}",
             name,
         )
 
 
-class DocumentFeed:
-    """The newest document that this process knows; its revision never goes down.
+def decode_head(value):
+    """Decode the head's key.
 
-    Parameters
-    ----------
-    document_store : DocumentStore
-    clock : peridothitch.ports.clock.Clock
-    metrics : peridothitch.adapters.metrics.Metrics
+    Raises
+    ------
+    peridothitch.errors.StoreUnavailableError
+        The key holds something else.
     """
+    try:
+        return msgspec.json.decode(value, type=heads.Head)
+    except msgspec.MsgspecError as error:
+        raise errors.StoreUnavailableError(f"malformed head: {error}") from None
 
-    def __init__(self, document_store, clock, metrics):
-        self._document_store = document_store
-        self._clock = clock
-        self._metrics = metrics
-        self._lock = threading.Lock()
-        self._document = None
 
-    def current(self):
-        """Return the newest document, None before the first was read."""
-        return self._document
-
-    def refresh(self):
-        """Read the document once."""
-        try:
-            document = self._document_store.load().document
-        except errors.StoreError:
-            self._metrics.count("document_failures")
-            return
-        self.offer(document)
-
-    def offer(self, document):
-        """Take `document` if its revision is higher than the current one's."""
-        with self._lock:
-            known = self._document
-            if known is None or document.revision > known.revision:
-                self._document = document
-                self._metrics.set("document_revision", document.revision)
-
-    def run(self, stop, interval):
-        """Refresh until the event `stop` is set."""
-        while not self._clock.wait(stop, interval):
-            self.refresh()
+def _texts(item_by_key):
+    return {
+        key[len(_SECTION_PREFIX) :]: item.value.decode()
+        for key, item in item_by_key.items()
+        if key.startswith(_SECTION_PREFIX)
+    }
--- a/src/peridothitch/coordination/membership.py
+++ b/src/peridothitch/coordination/membership.py
@@ -11,11 +11,11 @@
 
 import logbook
 import msgspec
-import xxhash
 
 from peridothitch import errors
 from peridothitch.coordination import gossip as gossips
 from peridothitch.coordination import member_records as records
+from peridothitch.coordination import relays
 from peridothitch.ports import peer_transport, peers
 
 __all__ = ["Membership"]
@@ -24,7 +24,6 @@
 _PROBE = peer_transport.GOSSIP_PREFIX + "probe"
 _SYNC = peer_transport.GOSSIP_PREFIX + "sync"
 _MAX_JOIN_SYNCS = 64
-_RELAYS_PER_DATA_CENTRE = 2
 _log = logbook.Logger("peridothitch.membership")
 
 
@@ -109,18 +108,9 @@
         """Replace the addresses, besides the seeds, that hosts may be reached at."""
         self._learned = frozenset(addresses)
 
-    def relays(self, data_centre):
-        """Return ids of the members that watch the store for a data centre."""
-        local = [
-            host_id
-            for host_id, peer in self.members().items()
-            if peer.data_centre == data_centre
-        ]
-        return sorted(local, key=_position)[:_RELAYS_PER_DATA_CENTRE]
-
     def is_relay(self):
         """Return whether this host watches the store for its data centre."""
-        return self.host_id in self.relays(self._self.data_centre)
+        return relays.is_relay(self.members(), self.host_id)
 
     def is_alone(self):
         """Return whether no other member is known."""
@@ -228,9 +218,9 @@
             return None
         if self._ticks % 2:
             return self._random.choice(others)
-        mine = _position(self.host_id)
+        mine = relays.position(self.host_id)
         return min(
-            others, key=lambda peer: (_position(peer.host_id) - mine) % (1 << 64)
+            others, key=lambda peer: (relays.position(peer.host_id) - mine) % (1 << 64)
         )
 
     def _live_others(self):
@@ -385,7 +375,3 @@
 
 def _is_alive(wire_fact):
     return records.split_sequence(wire_fact.sequence)[1] is records.State.ALIVE
-
-
-def _position(host_id):
-    return xxhash.xxh64_intdigest(host_id.encode())
--- /dev/null
+++ b/src/peridothitch/coordination/relays.py
@@ -0,0 +1,55 @@
+"""Which members watch the store, and whom the others ask for what these have read.
+
+Members of a data centre are ordered by a hash of their ids. The first few are its
+relays; the others ask along a tree, so that every host answers a few others however
+large the fleet is. The order is a hint: a host whose parent has nothing asks others.
+"""
+
+import xxhash
+
+__all__ = ["ancestors", "is_relay", "position", "relays"]
+
+_RELAYS_PER_DATA_CENTRE = 2
+_CHILDREN_PER_HOST = 4
+
+
+def position(host_id):
+    """Return a host's place in the order of all hosts, a 64-bit number."""
+    return xxhash.xxh64_intdigest(host_id.encode())
+
+
+def _ordered(peer_by_id, data_centre):
+    local = [
+        host_id
+        for host_id, peer in peer_by_id.items()
+        if peer.data_centre == data_centre
+    ]
+    return sorted(local, key=position)
+
+
+def relays(peer_by_id, data_centre):
+    """Return the ids of the members that watch the store for a data centre."""
+    return _ordered(peer_by_id, data_centre)[:_RELAYS_PER_DATA_CENTRE]
+
+
+def is_relay(peer_by_id, host_id):
+    """Return whether a member watches the store for its data centre."""
+    peer = peer_by_id.get(host_id)
+    return peer is not None and host_id in relays(peer_by_id, peer.data_centre)
+
+
+def ancestors(peer_by_id, host_id):
+    """Return the ids that a host asks in turn: its parent first, then up to a relay.
+
+    Relays have none.
+    """
+    peer = peer_by_id.get(host_id)
+    if peer is None:
+        return []
+    ordered = _ordered(peer_by_id, peer.data_centre)
+    rank = ordered.index(host_id)
+    chain = []
+    while rank >= _RELAYS_PER_DATA_CENTRE:
+        rank = (rank - _RELAYS_PER_DATA_CENTRE) // _CHILDREN_PER_HOST
+        chain.append(ordered[rank])
+    return chain
--- /dev/null
+++ b/src/peridothitch/coordination/watcher.py
@@ -0,0 +1,70 @@
+"""Watches the document's head in the store while this host is a relay."""
+
+import datetime
+
+from peridothitch import errors
+
+__all__ = ["HeadWatcher"]
+
+_POLL = datetime.timedelta(seconds=3)
+_IDLE = datetime.timedelta(seconds=1)
+_RETRY = datetime.timedelta(seconds=1)
+_MAX_AGE = datetime.timedelta(minutes=5)
+
+
+class HeadWatcher:
+    """Tells a feed which revision the store holds.
+
+    A watch that goes silent is harmless: the relays' regular reads see the change, and
+    every watch is replaced after some minutes.
+
+    Parameters
+    ----------
+    document_store : peridothitch.coordination.documents.DocumentStore
+    feed : peridothitch.coordination.feed.DocumentFeed
+    clock : peridothitch.ports.clock.Clock
+    metrics : peridothitch.adapters.metrics.Metrics
+    random_source : random.Random
+    """
+
+    def __init__(self, document_store, feed, clock, metrics, random_source):
+        self._document_store = document_store
+        self._feed = feed
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random_source
+        self._watch = None
+        self._opened = clock.monotonic()
+
+    def run(self, stop):
+        """Watch until the event `stop` is set."""
+        while not stop.is_set():
+            if not self._feed.is_relay():
+                self.close()
+                self._clock.wait(stop, _IDLE)
+            elif not self.step(_POLL):
+                self._clock.wait(stop, _RETRY * self._random.uniform(0.5, 1.5))
+        self.close()
+
+    def step(self, timeout):
+        """Wait for a change at most `timeout`; returns whether the watch works."""
+        try:
+            if self._watch is None:
+                revision, self._watch = self._document_store.open_watch()
+                self._opened = self._clock.monotonic()
+                self._feed.hear_store(revision)
+            for revision in self._document_store.poll_watch(self._watch, timeout):
+                self._feed.hear_store(revision)
+        except errors.StoreError:
+            self._metrics.count("watch_failures")
+            self.close()
+            return False
+        if self._clock.monotonic() - self._opened > _MAX_AGE:
+            self.close()
+        return True
+
+    def close(self):
+        """End the watch."""
+        watch, self._watch = self._watch, None
+        if watch is not None:
+            watch.close()
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import dataclasses
 import datetime
+import random
 import secrets
 import threading
 
@@ -13,12 +14,18 @@
     traces,
     wsgi_front,
 )
-from peridothitch.coordination import claims, documents, slices, spending
+from peridothitch.coordination import (
+    claims,
+    documents,
+    feed,
+    slices,
+    spending,
+    watcher,
+)
 from peridothitch.gateway import admission, handler, peer_links, upstreams, versions
 
 __all__ = ["EntryHost", "HostSettings"]
 
-_DOCUMENT_INTERVAL = datetime.timedelta(seconds=1)
 _TIDY_INTERVAL = datetime.timedelta(seconds=5)
 _INCARNATION_BYTES = 4
 
@@ -79,8 +86,21 @@
             clock,
             self.metrics,
         )
-        document_store = documents.DocumentStore(service, document_file.YamlCodec())
-        self.feed = documents.DocumentFeed(document_store, clock, self.metrics)
+        random_source = random.SystemRandom()
+        codec = document_file.YamlCodec()
+        document_store = documents.DocumentStore(service, codec)
+        self.feed = feed.DocumentFeed(
+            document_store,
+            codec,
+            clock,
+            self.metrics,
+            self.fleet.peers,
+            self.fleet.facts,
+            random_source,
+        )
+        self._watcher = watcher.HeadWatcher(
+            document_store, self.feed, clock, self.metrics, random_source
+        )
         self._view = upstreams.UpstreamView(host_list, clock, self.metrics)
         ledger = slices.SliceLedger(service, _incarnation(settings.host_id))
         self.book = spending.SpendingBook(ledger, self.fleet.peers, clock, self.metrics)
@@ -118,7 +138,8 @@
         self.fleet.start(self._background, self._stop)
         self.feed.refresh()
         self._view.refresh()
-        self._background.submit(self.feed.run, self._stop, _DOCUMENT_INTERVAL)
+        self._background.submit(self.feed.run, self._stop)
+        self._background.submit(self._watcher.run, self._stop)
         self._background.submit(self._view.run, self._stop)
         self._background.submit(self.book.run, self._stop, _TIDY_INTERVAL)
         self._server.start()
--- a/src/peridothitch/gateway/peer_links.py
+++ b/src/peridothitch/gateway/peer_links.py
@@ -6,14 +6,26 @@
 import random
 
 from peridothitch.adapters import thrift_peers
-from peridothitch.coordination import gossip, member_keys, membership, solo
+from peridothitch.coordination import (
+    feed,
+    gossip,
+    member_keys,
+    member_records,
+    membership,
+    solo,
+)
 from peridothitch.ports import peers
 
 __all__ = ["FleetLink", "FleetSettings", "SoloLink", "link"]
 
 _EXECUTOR_THREADS = 8
 _PUSH_INTERVAL = datetime.timedelta(milliseconds=250)
-_URGENT_KINDS = ("condemned", "quarantine", "revision")
+_LIFETIME_BY_KIND = {
+    feed.CONFIRMED_KIND: datetime.timedelta(minutes=10),
+    feed.REVISION_KIND: datetime.timedelta(days=30),
+    member_records.MEMBER_KIND: datetime.timedelta(hours=2),
+}
+_URGENT_KINDS = ("condemned", "quarantine", feed.REVISION_KIND)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -87,7 +99,9 @@
         self._executor = concurrent.futures.ThreadPoolExecutor(
             _EXECUTOR_THREADS, thread_name_prefix="peer-probe"
         )
-        self.facts = gossip.Gossip(clock, metrics, urgent_kinds=_URGENT_KINDS)
+        self.facts = gossip.Gossip(
+            clock, metrics, _LIFETIME_BY_KIND, urgent_kinds=_URGENT_KINDS
+        )
         random_source = random.SystemRandom()
         self.peers = membership.Membership(
             peer,
--- a/src/peridothitch/ports/document_codec.py
+++ b/src/peridothitch/ports/document_codec.py
@@ -29,6 +29,13 @@
     def parse_section(self, name, text):
         """Return the items of one section by name."""
 
+    @abc.abstractmethod
+    def build_document(self, items_by_section, revision):
+        """Return the document made of the items of all sections, by section.
+
+        References between sections are not checked.
+        """
+
     @abc.abstractmethod
     def join_sections(self, text_by_section):
         """Return the text of the document made of the sections' texts."""
