--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -24,6 +24,12 @@
     And the store goes down and a new host starts
     Then the new host has the change within 2 seconds
 
+  Scenario: Status tells done only when every live host has the change
+    Given 7 hosts that follow the document
+    When an operator's edit is accepted
+    And one host is cut off from the store and its peers meanwhile
+    Then status tells undone and names that host until it is back
+
   Scenario: Racing operators lose nothing
     Then edits of any sections in any interleaving are all kept or refused with both texts
 
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -9,7 +9,13 @@
 
 from peridothitch import errors
 from peridothitch.adapters import document_file, memory_store
-from peridothitch.coordination import deltas, document_messages, documents, heads
+from peridothitch.coordination import (
+    deltas,
+    document_messages,
+    documents,
+    fleet_status,
+    heads,
+)
 from peridothitch.gateway import customers, embedded
 from peridothitch.standins import faulty_store
 
@@ -65,6 +71,34 @@
     fleet.run_until(lambda: not fleet.lacking([context.new_host]), seconds * SECOND)
 
 
+@behave.when("one host is cut off from the store and its peers meanwhile")
+def cut_off_host(context):
+    fleet = context.document_fleet
+    context.cut_off = sorted(fleet.live())[3]
+    fleet.split([context.cut_off])
+    fleet.cut_from_store(context.cut_off)
+
+
+@behave.then("status tells undone and names that host until it is back")
+def check_status(context):
+    fleet = context.document_fleet
+    asked = sorted(fleet.live() - {context.cut_off})[0]
+    status = fleet_status.FleetStatus(
+        fleet.feed_by_id[asked],
+        fleet.node_by_id[asked].membership,
+        fake_documents.fake_network.InlineExecutor(),
+        fleet.clock,
+        lambda: sorted(fleet.live()),
+    )
+    fleet.run(IN_FORCE_LIMIT)
+    report = status.collect()
+    assert (report.done, report.revision) == (False, 2), report
+    assert report.unreachable == [context.cut_off], report
+    fleet.heal()
+    fleet.run_until(lambda: status.collect().done, HEAL_LIMIT)
+    assert not fleet.lacking(fleet.live())
+
+
 def run_with(names, seed, **options):
     fleet = make_fleet(7, seed, **options)
     struck = fake_documents.Faults(fleet)
--- a/src/peridothitch/adapters/wsgi_front.py
+++ b/src/peridothitch/adapters/wsgi_front.py
@@ -97,9 +97,11 @@
     ----------
     handler : peridothitch.gateway.handler.RequestHandler
     metrics : peridothitch.adapters.metrics.Metrics
+    pages : dict of str to callable or None
+        Functions by path that return what is answered as JSON.
     """
 
-    def __init__(self, handler, metrics):
+    def __init__(self, handler, metrics, pages=None):
         self._handler = handler
         self._metrics = metrics
         self._page_by_path = {
@@ -107,6 +109,10 @@
             "/readyz": self._readiness,
             "/metrics": self._render_metrics,
         }
+        for path, read in (pages or {}).items():
+            self._page_by_path[path] = lambda environ, read=read: _json_reply(
+                200, read()
+            )
 
     def __call__(self, environ, start_response):
         """Answer one WSGI request."""
--- a/src/peridothitch/coordination/document_messages.py
+++ b/src/peridothitch/coordination/document_messages.py
@@ -47,7 +47,7 @@
     delta_by_section: dict[str, deltas.Delta] = {}
 
 
-class Report(msgspec.Struct, frozen=True, array_like=True):
+class Report(msgspec.Struct, frozen=True):
     """What a host says of its document.
 
     Attributes
--- a/src/peridothitch/coordination/feed.py
+++ b/src/peridothitch/coordination/feed.py
@@ -94,6 +94,11 @@
         snapshot = self._snapshot
         return snapshot.head.revision if snapshot is not None else 0
 
+    @property
+    def heard_revision(self):
+        """Newest revision that this host has heard of."""
+        return max(self._heard_revision, self._store_revision, self.revision)
+
     def confirmed_age(self):
         """Return the time since the revision was last known to be the newest."""
         since = self._confirmed_at
--- a/src/peridothitch/coordination/member_keys.py
+++ b/src/peridothitch/coordination/member_keys.py
@@ -87,5 +87,9 @@
     def _read(self):
         found = self._store.range(_PREFIX)
         self._membership.learn(
-            item.value.decode(errors="replace") for item in found.item_by_key.values()
+            "store",
+            (
+                item.value.decode(errors="replace")
+                for item in found.item_by_key.values()
+            ),
         )
--- a/src/peridothitch/coordination/membership.py
+++ b/src/peridothitch/coordination/membership.py
@@ -72,8 +72,7 @@
         self._peer_by_id = {peer.host_id: peer}
         self._deadline_by_suspect = {}
         self._address_by_departed = {}
-        self._seeds = frozenset(seeds)
-        self._learned = frozenset()
+        self._learned_by_source = {"seeds": frozenset(seeds)}
         self._incarnation = int(clock.now().timestamp())
         self._leaving = False
         self._ticks = 0
@@ -104,9 +103,17 @@
             raise errors.PeerError(f"{host_id} is not a member", sent=False)
         return self._transport.call(peer.address, method, payload, timeout)
 
-    def learn(self, addresses):
-        """Replace the addresses, besides the seeds, that hosts may be reached at."""
-        self._learned = frozenset(addresses)
+    def learn(self, source, addresses):
+        """Replace the addresses that a source knows hosts to be reached at.
+
+        Parameters
+        ----------
+        source : str
+            Such as the store or the platform's host list.
+        addresses : iterable of str
+        """
+        with self._lock:
+            self._learned_by_source[source] = frozenset(addresses)
 
     def is_relay(self):
         """Return whether this host watches the store for its data centre."""
@@ -195,8 +202,9 @@
         self._next_rejoin = now + self._settings.rejoin_period * jitter
         with self._lock:
             live = {peer.address for peer in self._peer_by_id.values()}
-            departed = set(self._address_by_departed.values())
-        candidates = sorted((self._seeds | self._learned | departed) - live)
+            unknown = set(self._address_by_departed.values())
+            unknown.update(*self._learned_by_source.values())
+        candidates = sorted(unknown - live)
         if not candidates:
             return
         address = self._random.choice(candidates)
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -7,6 +7,8 @@
 import secrets
 import threading
 
+import msgspec
+
 from peridothitch.adapters import (
     document_file,
     http_transport,
@@ -18,6 +20,7 @@
     claims,
     documents,
     feed,
+    fleet_status,
     slices,
     spending,
     watcher,
@@ -28,6 +31,9 @@
 
 _TIDY_INTERVAL = datetime.timedelta(seconds=5)
 _INCARNATION_BYTES = 4
+_LEARN_PERIOD = datetime.timedelta(seconds=5)
+_STATUS_THREADS = 16
+_ENTRY_SERVICE = "peridothitch"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -75,6 +81,7 @@
 
     def __init__(self, settings, service, host_list, clock, exporter=None):
         self._settings = settings
+        self._clock = clock
         self._stop = threading.Event()
         self.metrics = metrics.Metrics()
         self._tracer = traces.Tracer(settings.host_id, exporter)
@@ -101,6 +108,12 @@
         self._watcher = watcher.HeadWatcher(
             document_store, self.feed, clock, self.metrics, random_source
         )
+        self._askers = concurrent.futures.ThreadPoolExecutor(
+            _STATUS_THREADS, thread_name_prefix="status"
+        )
+        self._status = fleet_status.FleetStatus(
+            self.feed, self.fleet.peers, self._askers, clock, self._listed_entry_hosts
+        )
         self._view = upstreams.UpstreamView(host_list, clock, self.metrics)
         ledger = slices.SliceLedger(service, _incarnation(settings.host_id))
         self.book = spending.SpendingBook(ledger, self.fleet.peers, clock, self.metrics)
@@ -119,7 +132,9 @@
             data_centre=settings.data_centre,
         )
         self._server = wsgi_front.WsgiServer(
-            wsgi_front.WsgiFront(self._handler, self.metrics),
+            wsgi_front.WsgiFront(
+                self._handler, self.metrics, {"/v1/status": self._read_status}
+            ),
             settings.listen,
             settings.threads,
             settings.max_body_bytes,
@@ -128,6 +143,19 @@
             thread_name_prefix=f"{settings.host_id}-background"
         )
 
+    def _listed_entry_hosts(self):
+        return [host.host_id for host in self._view.hosts(_ENTRY_SERVICE)]
+
+    def _learn_entry_hosts(self):
+        self.fleet.learn(host.address for host in self._view.hosts(_ENTRY_SERVICE))
+
+    def _follow_host_list(self):
+        while not self._clock.wait(self._stop, _LEARN_PERIOD):
+            self._learn_entry_hosts()
+
+    def _read_status(self):
+        return msgspec.to_builtins(self._status.collect())
+
     @property
     def port(self):
         """Port that callers connect to."""
@@ -135,13 +163,15 @@
 
     def start(self):
         """Join the fleet, read configuration and host list once, then serve."""
+        self._view.refresh()
+        self._learn_entry_hosts()
         self.fleet.start(self._background, self._stop)
         self.feed.refresh()
-        self._view.refresh()
         self._background.submit(self.feed.run, self._stop)
         self._background.submit(self._watcher.run, self._stop)
         self._background.submit(self._view.run, self._stop)
         self._background.submit(self.book.run, self._stop, _TIDY_INTERVAL)
+        self._background.submit(self._follow_host_list)
         self._server.start()
 
     def stop(self):
@@ -159,6 +189,7 @@
         self._background.shutdown()
         self.book.close()
         self.fleet.close()
+        self._askers.shutdown()
         self._tracer.close()
         return drained
 
--- a/src/peridothitch/gateway/peer_links.py
+++ b/src/peridothitch/gateway/peer_links.py
@@ -63,6 +63,9 @@
     def start(self, pool, stop):
         """Start nothing."""
 
+    def learn(self, addresses):
+        """Learn nothing."""
+
     def leave(self):
         """Tell nobody."""
 
@@ -131,6 +134,10 @@
         pool.submit(self._keys.run, stop)
         pool.submit(self._push_urgent, stop)
 
+    def learn(self, addresses):
+        """Take the peer addresses of entry hosts that the platform lists."""
+        self.peers.learn("host list", addresses)
+
     def leave(self):
         """Tell the others that this host goes."""
         self.peers.leave()
