--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -3,14 +3,10 @@
 import concurrent.futures
 import dataclasses
 import datetime
-import random
 import secrets
 import threading
 
-import msgspec
-
 from peridothitch.adapters import (
-    document_file,
     http_transport,
     metrics,
     traces,
@@ -18,22 +14,22 @@
 )
 from peridothitch.coordination import (
     claims,
-    documents,
-    feed,
-    fleet_status,
     slices,
     spending,
-    watcher,
 )
-from peridothitch.gateway import admission, handler, peer_links, upstreams, versions
+from peridothitch.gateway import (
+    admission,
+    document_links,
+    handler,
+    peer_links,
+    upstreams,
+    versions,
+)
 
 __all__ = ["EntryHost", "HostSettings"]
 
 _TIDY_INTERVAL = datetime.timedelta(seconds=5)
 _INCARNATION_BYTES = 4
-_LEARN_PERIOD = datetime.timedelta(seconds=5)
-_STATUS_THREADS = 16
-_ENTRY_SERVICE = "peridothitch"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -81,7 +77,6 @@
 
     def __init__(self, settings, service, host_list, clock, exporter=None):
         self._settings = settings
-        self._clock = clock
         self._stop = threading.Event()
         self.metrics = metrics.Metrics()
         self._tracer = traces.Tracer(settings.host_id, exporter)
@@ -93,28 +88,11 @@
             clock,
             self.metrics,
         )
-        random_source = random.SystemRandom()
-        codec = document_file.YamlCodec()
-        document_store = documents.DocumentStore(service, codec)
-        self.feed = feed.DocumentFeed(
-            document_store,
-            codec,
-            clock,
-            self.metrics,
-            self.fleet.peers,
-            self.fleet.facts,
-            random_source,
-        )
-        self._watcher = watcher.HeadWatcher(
-            document_store, self.feed, clock, self.metrics, random_source
-        )
-        self._askers = concurrent.futures.ThreadPoolExecutor(
-            _STATUS_THREADS, thread_name_prefix="status"
-        )
-        self._status = fleet_status.FleetStatus(
-            self.feed, self.fleet.peers, self._askers, clock, self._listed_entry_hosts
-        )
         self._view = upstreams.UpstreamView(host_list, clock, self.metrics)
+        self._documents = document_links.DocumentLink(
+            service, self.fleet, self._view, clock, self.metrics
+        )
+        self.feed = self._documents.feed
         ledger = slices.SliceLedger(service, _incarnation(settings.host_id))
         self.book = spending.SpendingBook(ledger, self.fleet.peers, clock, self.metrics)
         gate = admission.SpendingGate(self.book, clock, self.metrics)
@@ -133,7 +111,7 @@
         )
         self._server = wsgi_front.WsgiServer(
             wsgi_front.WsgiFront(
-                self._handler, self.metrics, {"/v1/status": self._read_status}
+                self._handler, self.metrics, {"/v1/status": self._documents.read_status}
             ),
             settings.listen,
             settings.threads,
@@ -143,19 +121,6 @@
             thread_name_prefix=f"{settings.host_id}-background"
         )
 
-    def _listed_entry_hosts(self):
-        return [host.host_id for host in self._view.hosts(_ENTRY_SERVICE)]
-
-    def _learn_entry_hosts(self):
-        self.fleet.learn(host.address for host in self._view.hosts(_ENTRY_SERVICE))
-
-    def _follow_host_list(self):
-        while not self._clock.wait(self._stop, _LEARN_PERIOD):
-            self._learn_entry_hosts()
-
-    def _read_status(self):
-        return msgspec.to_builtins(self._status.collect())
-
     @property
     def port(self):
         """Port that callers connect to."""
@@ -164,14 +129,9 @@
     def start(self):
         """Join the fleet, read configuration and host list once, then serve."""
         self._view.refresh()
-        self._learn_entry_hosts()
-        self.fleet.start(self._background, self._stop)
-        self.feed.refresh()
-        self._background.submit(self.feed.run, self._stop)
-        self._background.submit(self._watcher.run, self._stop)
+        self._documents.start(self._background, self._stop)
         self._background.submit(self._view.run, self._stop)
         self._background.submit(self.book.run, self._stop, _TIDY_INTERVAL)
-        self._background.submit(self._follow_host_list)
         self._server.start()
 
     def stop(self):
@@ -189,7 +149,7 @@
         self._background.shutdown()
         self.book.close()
         self.fleet.close()
-        self._askers.shutdown()
+        self._documents.close()
         self._tracer.close()
         return drained
 
