--- /dev/null
+++ b/benchmarks/control_plane.py
@@ -0,0 +1,300 @@
+"""Measures what control costs each entry host, and how fast a change spreads.
+
+Starts real ``peridothitch serve`` processes with a store and a host list in this
+process, and prints markdown tables. Run it with
+``PYTHONPATH=src python benchmarks/control_plane.py --sizes 3,7,20,60``.
+"""
+
+import argparse
+import dataclasses
+import http.client
+import os
+import pathlib
+import random
+import signal
+import statistics
+import subprocess
+import sys
+import time
+
+import numpy
+import psutil
+
+from peridothitch.adapters import (
+    document_file,
+    memory_store,
+    system_clock,
+    wsgi_front,
+)
+from peridothitch.coordination import documents
+from peridothitch.gateway import embedded
+from peridothitch.standins import hosts, store
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+ANY_PORT = "127.0.0.1:0"
+DATA_CENTRES = 4
+SEED = 20261204
+TARGET_SIZE = 380
+# Of TCP/IP over Ethernet: a request, an answer and an acknowledgement of 66 bytes.
+HEADER_BYTES_PER_CALL = 198
+SETTLE_SECONDS = 15
+EDITS = 5
+EDIT_GAP_SECONDS = 2.0
+IN_FORCE_SECONDS = 20
+METRICS = (
+    "peer_payload_bytes_total",
+    "peer_calls_sent_total",
+    "peer_calls_answered_total",
+    "document_revision",
+    "document_taken_timestamp_seconds",
+    "members",
+)
+
+
+@dataclasses.dataclass
+class Row:
+    """Figures of one fleet size, per host where not said otherwise."""
+
+    size: int
+    payload_bytes: float
+    wire_bytes: float
+    calls: float
+    cpu_percent: float
+    memory_mb: float
+    store_calls: float
+    calm_seconds: list
+    killed_seconds: list
+
+
+class Bench:
+    """A store, a host list and entry hosts as processes."""
+
+    def __init__(self):
+        clock = system_clock.SystemClock()
+        self.memory = memory_store.MemoryStore(clock)
+        self.servers = [
+            wsgi_front.WsgiServer(store.StoreService(self.memory), ANY_PORT),
+            wsgi_front.WsgiServer(
+                hosts.HostListService(hosts.StaticHostList()), ANY_PORT
+            ),
+        ]
+        for server in self.servers:
+            server.start()
+        self.document_store = documents.DocumentStore(
+            self.memory, document_file.YamlCodec()
+        )
+        self.document_store.create(embedded.EXAMPLE_DOCUMENT)
+        self.process_by_port = {}
+
+    def start(self, index, in_fleet=True):
+        """Start one entry host and wait until it listens."""
+        command = [sys.executable, "-m", "peridothitch", "serve"]
+        command += ["--host-id", f"entry-{index}", "--listen", ANY_PORT]
+        command += ["--data-centre", f"dc-{index % DATA_CENTRES}", "--threads", "4"]
+        command += ["--store", f"127.0.0.1:{self.servers[0].port}"]
+        command += ["--host-list", f"127.0.0.1:{self.servers[1].port}"]
+        if in_fleet:
+            command += ["--peer-listen", ANY_PORT]
+        process = subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+            env=os.environ | {"PYTHONPATH": str(ROOT / "src")},
+        )
+        for line in process.stdout:
+            if "listening on port " in line:
+                tail = line.split("listening on port ")[1]
+                port = int(tail.split(";")[0].split()[0])
+                self.process_by_port[port] = process
+                return port
+        raise RuntimeError("an entry host did not start")
+
+    def read(self, port):
+        """Return the sums of some metrics of one host by name."""
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+        connection.request("GET", "/metrics")
+        lines = connection.getresponse().read().decode().splitlines()
+        connection.close()
+        total_by_name = dict.fromkeys(METRICS, 0.0)
+        for line in lines:
+            name = line.partition("{")[0].partition(" ")[0]
+            name = name.removeprefix("peridothitch_")
+            if name in total_by_name:
+                total_by_name[name] += float(line.rpartition(" ")[2])
+        return total_by_name
+
+    def wait_until_joined(self):
+        """Wait until every host knows all others."""
+        size = len(self.process_by_port)
+        end = time.monotonic() + 120
+        while time.monotonic() < end:
+            if all(self.read(port)["members"] == size for port in self.process_by_port):
+                return
+            time.sleep(0.5)
+        raise RuntimeError("the hosts did not find each other")
+
+    def store_calls(self):
+        """Return the calls that the store has taken."""
+        return sum(self.memory.call_count_by_method.values())
+
+    def cpu_seconds(self):
+        """Return the processor time of all hosts."""
+        total = 0.0
+        for process in self.process_by_port.values():
+            times = psutil.Process(process.pid).cpu_times()
+            total += times.user + times.system
+        return total
+
+    def memory_mb(self):
+        """Return the mean unique set size of the hosts, in MB."""
+        return statistics.mean(
+            psutil.Process(process.pid).memory_full_info().uss / 1e6
+            for process in self.process_by_port.values()
+        )
+
+    def edit(self):
+        """Change the document; returns the time until the last host has it."""
+        route = f"r{time.monotonic_ns()}"
+        text = f"{route}: {{method: GET, path: /{route}, service: ticketing}}\n"
+        started = time.time()
+        revision = self.document_store.edit("routes", text, "")
+        end = started + IN_FORCE_SECONDS
+        time.sleep(EDIT_GAP_SECONDS)
+        while time.time() < end:
+            readings = [self.read(port) for port in self.process_by_port]
+            if all(reading["document_revision"] == revision for reading in readings):
+                taken = [one["document_taken_timestamp_seconds"] for one in readings]
+                return max(taken) - started
+            time.sleep(0.5)
+        return float("inf")
+
+    def kill(self, count, source):
+        """Kill some hosts at once."""
+        for port in source.sample(sorted(self.process_by_port), count):
+            process = self.process_by_port.pop(port)
+            os.kill(process.pid, signal.SIGKILL)
+            process.wait()
+            process.stdout.close()
+
+    def close(self):
+        """End everything that was started."""
+        for process in self.process_by_port.values():
+            process.terminate()
+        for process in self.process_by_port.values():
+            process.wait()
+            process.stdout.close()
+        for server in self.servers:
+            server.close()
+
+
+def measure_base(window):
+    """Return processor share and memory of one host without peers."""
+    bench = Bench()
+    try:
+        bench.start(0, in_fleet=False)
+        time.sleep(5)
+        before = bench.cpu_seconds()
+        time.sleep(window)
+        return 100 * (bench.cpu_seconds() - before) / window, bench.memory_mb()
+    finally:
+        bench.close()
+
+
+def measure(size, window, base):
+    """Return the `Row` of one fleet size."""
+    source = random.Random(SEED)
+    bench = Bench()
+    try:
+        for index in range(size):
+            bench.start(index)
+        bench.wait_until_joined()
+        time.sleep(SETTLE_SECONDS)
+        before = [bench.read(port) for port in bench.process_by_port]
+        store_before, cpu_before = bench.store_calls(), bench.cpu_seconds()
+        time.sleep(window)
+        store_calls = (bench.store_calls() - store_before) / window
+        cpu = 100 * (bench.cpu_seconds() - cpu_before) / window / size
+        after = [bench.read(port) for port in bench.process_by_port]
+
+        def rate(name):
+            total = sum(one[name] for one in after) - sum(one[name] for one in before)
+            return total / window / size
+
+        calls = rate("peer_calls_sent_total") + rate("peer_calls_answered_total")
+        payload = rate("peer_payload_bytes_total")
+        memory_mb = bench.memory_mb()
+        calm = [bench.edit() for _ in range(EDITS)]
+        killed = []
+        for _ in range(2 if size > 5 else 1):
+            bench.kill(max(1, size // 5) if size > 5 else 1, source)
+            killed.append(bench.edit())
+        return Row(
+            size=size,
+            payload_bytes=payload,
+            wire_bytes=payload + calls * HEADER_BYTES_PER_CALL,
+            calls=calls,
+            cpu_percent=cpu - base[0],
+            memory_mb=memory_mb - base[1],
+            store_calls=store_calls,
+            calm_seconds=calm,
+            killed_seconds=killed,
+        )
+    finally:
+        bench.close()
+
+
+def print_rows(rows, base):
+    print(
+        f"One host without peers: {base[0]:.2f} % of a core, {base[1]:.1f} MB;"
+        " the control columns are what peers add to it.\n"
+    )
+    print(
+        "| hosts | payload B/s | B/s with headers | calls/s | core % | MB "
+        "| store calls/s, fleet | change calm, s: median, most "
+        "| change with 1/5 killed, s |"
+    )
+    print("|---|---|---|---|---|---|---|---|---|")
+    for row in rows:
+        killed = ", ".join(f"{value:.2f}" for value in row.killed_seconds)
+        print(
+            f"| {row.size} | {row.payload_bytes:.0f} | {row.wire_bytes:.0f} "
+            f"| {row.calls:.1f} | {row.cpu_percent:.2f} | {row.memory_mb:.1f} "
+            f"| {row.store_calls:.2f} "
+            f"| {statistics.median(row.calm_seconds):.2f}, "
+            f"{max(row.calm_seconds):.2f} | {killed} |"
+        )
+
+
+def print_slopes(rows):
+    print(f"\n| figure | slope per host | at {TARGET_SIZE}, extrapolated |")
+    print("|---|---|---|")
+    sizes = numpy.array([row.size for row in rows], dtype=float)
+    for name in ("wire_bytes", "calls", "cpu_percent", "memory_mb", "store_calls"):
+        values = numpy.array([getattr(row, name) for row in rows])
+        (slope, start), spread = numpy.polyfit(sizes, values, 1, cov="unscaled")
+        residual = values - (slope * sizes + start)
+        variance = residual @ residual / max(1, len(sizes) - 2)
+        error = float(numpy.sqrt(spread[0, 0] * variance))
+        at = slope * TARGET_SIZE + start
+        print(f"| {name} | {slope:.4f} +- {error:.4f} | {at:.1f} |")
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--sizes", default="3,7,20,60")
+    parser.add_argument("--window", type=float, default=20.0, help="in seconds")
+    arguments = parser.parse_args()
+    print(f"seed {SEED}, window {arguments.window:g} s, {os.cpu_count()} cores\n")
+    base = measure_base(arguments.window)
+    rows = []
+    for size in map(int, arguments.sizes.split(",")):
+        rows.append(measure(size, arguments.window, base))
+        print(f"measured {size}: {rows[-1]}", file=sys.stderr, flush=True)
+    print_rows(rows, base)
+    if len(rows) > 2:
+        print_slopes(rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/peridothitch/adapters/wsgi_front.py
+++ b/src/peridothitch/adapters/wsgi_front.py
@@ -97,22 +97,21 @@
     ----------
     handler : peridothitch.gateway.handler.RequestHandler
     metrics : peridothitch.adapters.metrics.Metrics
-    pages : dict of str to callable or None
-        Functions by path that return what is answered as JSON.
+    report_by_path : dict of str to callable
+        Pages for operators; each callable returns plain values.
     """
 
-    def __init__(self, handler, metrics, pages=None):
+    def __init__(self, handler, metrics, report_by_path=None):
         self._handler = handler
+        self._report_by_path = dict(report_by_path or {})
         self._metrics = metrics
         self._page_by_path = {
             "/healthz": self._health,
             "/readyz": self._readiness,
             "/metrics": self._render_metrics,
         }
-        for path, read in (pages or {}).items():
-            self._page_by_path[path] = lambda environ, read=read: _json_reply(
-                200, read()
-            )
+        for path in self._report_by_path:
+            self._page_by_path[path] = self._report
 
     def __call__(self, environ, start_response):
         """Answer one WSGI request."""
@@ -142,6 +141,9 @@
         ready = self._handler.is_ready()
         return _json_reply(200 if ready else 503, {"ready": ready})
 
+    def _report(self, environ):
+        return _json_reply(200, self._report_by_path[environ["PATH_INFO"]]())
+
     def _render_metrics(self, environ):
         body, header_by_name = self._metrics.render(environ.get("HTTP_ACCEPT", "*/*"))
         return messages.Reply(
--- a/src/peridothitch/gateway/document_links.py
+++ b/src/peridothitch/gateway/document_links.py
@@ -61,16 +61,14 @@
         )
 
     def start(self, pool, stop):
-        """Join the fleet and take the newest document.
-
-        The parts run in `pool` until the event `stop` is set.
-        """
+        """Join the fleet and take the newest document."""
         self._learn()
         self._fleet.start(pool, stop)
         self.feed.refresh()
-        pool.submit(self.feed.run, stop)
-        pool.submit(self._watcher.run, stop)
-        pool.submit(self._follow_host_list, stop)
+
+    def loops(self):
+        """Return what runs in the background until the host stops."""
+        return self.feed.run, self._watcher.run, self._follow_host_list
 
     def read_status(self):
         """Return what is done and undone, as plain data."""
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import dataclasses
 import datetime
+import random
 import secrets
 import threading
 
@@ -14,13 +15,16 @@
 )
 from peridothitch.coordination import (
     claims,
+    ranking,
     slices,
     spending,
+    verdicts,
 )
 from peridothitch.gateway import (
     admission,
     document_links,
     handler,
+    moves,
     peer_links,
     upstreams,
     versions,
@@ -28,8 +32,9 @@
 
 __all__ = ["EntryHost", "HostSettings"]
 
-_TIDY_INTERVAL = datetime.timedelta(seconds=5)
 _INCARNATION_BYTES = 4
+_BACKGROUND_THREADS = 64
+"""More than the loops of one host, each of which keeps its thread."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -95,6 +100,7 @@
         self.feed = self._documents.feed
         ledger = slices.SliceLedger(service, _incarnation(settings.host_id))
         self.book = spending.SpendingBook(ledger, self.fleet.peers, clock, self.metrics)
+        self.moves = self._make_moves(service, clock)
         gate = admission.SpendingGate(self.book, clock, self.metrics)
         self._handler = handler.RequestHandler(
             feed=self.feed,
@@ -105,20 +111,33 @@
             metrics=self.metrics,
             tracer=self._tracer,
             admission=gate,
-            version_picker=versions.VersionPicker(),
-            observers=(gate,),
+            version_picker=versions.VersionPicker(self.moves),
+            observers=(gate, self.moves),
             data_centre=settings.data_centre,
         )
         self._server = wsgi_front.WsgiServer(
             wsgi_front.WsgiFront(
-                self._handler, self.metrics, {"/v1/status": self._documents.read_status}
+                self._handler, self.metrics, self._report_by_path()
             ),
             settings.listen,
             settings.threads,
             settings.max_body_bytes,
         )
         self._background = concurrent.futures.ThreadPoolExecutor(
-            thread_name_prefix=f"{settings.host_id}-background"
+            _BACKGROUND_THREADS, thread_name_prefix=f"{settings.host_id}-background"
+        )
+
+    def _make_moves(self, service, clock):
+        return moves.MoveKeeper(
+            feed=self.feed,
+            view=self._view,
+            book=verdicts.MoveBook(service, self._settings.host_id),
+            board=self.fleet.facts,
+            peers=self.fleet.peers,
+            leadership=ranking.RankedLeadership(self.fleet.peers, "moves"),
+            clock=clock,
+            metrics=self.metrics,
+            generator=random.SystemRandom(),
         )
 
     @property
@@ -130,10 +149,28 @@
         """Join the fleet, read configuration and host list once, then serve."""
         self._view.refresh()
         self._documents.start(self._background, self._stop)
-        self._background.submit(self._view.run, self._stop)
-        self._background.submit(self.book.run, self._stop, _TIDY_INTERVAL)
+        for run in self._loops():
+            self._background.submit(run, self._stop)
         self._server.start()
 
+    def _report_by_path(self):
+        return {
+            "/v1/moves": self._report_moves,
+            "/v1/status": self._documents.read_status,
+        }
+
+    def _report_moves(self):
+        return {"moves": self.moves.status()}
+
+    def _loops(self):
+        """Return what runs in the background until the host stops."""
+        return (
+            *self._documents.loops(),
+            self._view.run,
+            self.book.run,
+            self.moves.run,
+        )
+
     def stop(self):
         """Drain and stop.
 
