--- a/src/peridothitch/coordination/feed.py
+++ b/src/peridothitch/coordination/feed.py
@@ -149,6 +149,9 @@
             self._document = document
             self._attempts = 0
         self._metrics.set("document_revision", revision)
+        self._metrics.set(
+            "document_taken_timestamp_seconds", self._clock.now().timestamp()
+        )
         self._board.publish(facts.Fact(REVISION_KIND, _KEY, revision))
         return True
 
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -116,9 +116,7 @@
             data_centre=settings.data_centre,
         )
         self._server = wsgi_front.WsgiServer(
-            wsgi_front.WsgiFront(
-                self._handler, self.metrics, self._report_by_path()
-            ),
+            wsgi_front.WsgiFront(self._handler, self.metrics, self._report_by_path()),
             settings.listen,
             settings.threads,
             settings.max_body_bytes,
