--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -8,7 +8,6 @@
 import threading
 
 from peridothitch.adapters import (
-    document_file,
     http_transport,
     metrics,
     traces,
@@ -16,17 +15,15 @@
 )
 from peridothitch.coordination import (
     claims,
-    documents,
-    feed,
     ranking,
     slices,
     spending,
     usage,
     verdicts,
-    watcher,
 )
 from peridothitch.gateway import (
     admission,
+    document_links,
     handler,
     moves,
     peer_links,
@@ -97,27 +94,16 @@
             clock,
             self.metrics,
         )
-        random_source = random.SystemRandom()
-        codec = document_file.YamlCodec()
-        document_store = documents.DocumentStore(service, codec)
-        self.feed = feed.DocumentFeed(
-            document_store,
-            codec,
-            clock,
-            self.metrics,
-            self.fleet.peers,
-            self.fleet.facts,
-            random_source,
-        )
-        self._watcher = watcher.HeadWatcher(
-            document_store, self.feed, clock, self.metrics, random_source
-        )
         self._view = upstreams.UpstreamView(host_list, clock, self.metrics)
+        self._documents = document_links.DocumentLink(
+            service, self.fleet, self._view, clock, self.metrics
+        )
+        self.feed = self._documents.feed
         incarnation = _incarnation(settings.host_id)
         ledger = slices.SliceLedger(service, incarnation)
         self._usage = usage.UsageRecorder(service, incarnation, clock, self.metrics)
         self.book = spending.SpendingBook(ledger, self.fleet.peers, clock, self.metrics)
-        self.moves = self._make_moves(service, clock, random_source)
+        self.moves = self._make_moves(service, clock)
         gate = admission.SpendingGate(self.book, clock, self.metrics, self._usage)
         self._handler = handler.RequestHandler(
             feed=self.feed,
@@ -133,9 +119,7 @@
             data_centre=settings.data_centre,
         )
         self._server = wsgi_front.WsgiServer(
-            wsgi_front.WsgiFront(
-                self._handler, self.metrics, {"/v1/moves": self._report_moves}
-            ),
+            wsgi_front.WsgiFront(self._handler, self.metrics, self._report_by_path()),
             settings.listen,
             settings.threads,
             settings.max_body_bytes,
@@ -144,7 +128,7 @@
             _BACKGROUND_THREADS, thread_name_prefix=f"{settings.host_id}-background"
         )
 
-    def _make_moves(self, service, clock, random_source):
+    def _make_moves(self, service, clock):
         return moves.MoveKeeper(
             feed=self.feed,
             view=self._view,
@@ -154,7 +138,7 @@
             leadership=ranking.RankedLeadership(self.fleet.peers, "moves"),
             clock=clock,
             metrics=self.metrics,
-            generator=random_source,
+            generator=random.SystemRandom(),
         )
 
     @property
@@ -164,21 +148,25 @@
 
     def start(self):
         """Join the fleet, read configuration and host list once, then serve."""
-        self.fleet.start(self._background, self._stop)
-        self.feed.refresh()
         self._view.refresh()
+        self._documents.start(self._background, self._stop)
         for run in self._loops():
             self._background.submit(run, self._stop)
         self._server.start()
 
+    def _report_by_path(self):
+        return {
+            "/v1/moves": self._report_moves,
+            "/v1/status": self._documents.read_status,
+        }
+
     def _report_moves(self):
         return {"moves": self.moves.status()}
 
     def _loops(self):
         """Return what runs in the background until the host stops."""
         return (
-            self.feed.run,
-            self._watcher.run,
+            *self._documents.loops(),
             self._view.run,
             self.book.run,
             self._usage.run,
@@ -200,6 +188,7 @@
         self._background.shutdown()
         self.book.close()
         self.fleet.close()
+        self._documents.close()
         self._tracer.close()
         return drained
 
