Restart background loops that end with an error and count them

Cause: the futures of background loops were never looked at, so a loop that raised was gone without a trace; the pool had 14 threads on 10 cores and 5 on one core, fewer than loops. Before: an exception in a loop was silent.

--- a/src/peridothitch/gateway/document_links.py
+++ b/src/peridothitch/gateway/document_links.py
@@ -60,10 +60,10 @@
             self.feed, fleet.peers, self._askers, clock, self._listed_ids
         )
 
-    def start(self, pool, stop):
+    def start(self, runner):
         """Join the fleet and take the newest document."""
         self._learn()
-        self._fleet.start(pool, stop)
+        self._fleet.start(runner)
         self.feed.refresh()
 
     def loops(self):
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -25,6 +25,7 @@
     admission,
     document_links,
     handler,
+    loops,
     moves,
     peer_links,
     upstreams,
@@ -83,6 +84,7 @@
 
     def __init__(self, settings, service, host_list, clock, exporter=None):
         self._settings = settings
+        self._clock = clock
         self._stop = threading.Event()
         self.metrics = metrics.Metrics()
         self._tracer = traces.Tracer(settings.host_id, exporter)
@@ -149,9 +151,12 @@
     def start(self):
         """Join the fleet, read configuration and host list once, then serve."""
         self._view.refresh()
-        self._documents.start(self._background, self._stop)
+        runner = loops.LoopRunner(
+            self._background, self._stop, self._clock, self.metrics
+        )
+        self._documents.start(runner)
         for run in self._loops():
-            self._background.submit(run, self._stop)
+            runner.start(run)
         self._server.start()
 
     def _report_by_path(self):
--- a/src/peridothitch/gateway/peer_links.py
+++ b/src/peridothitch/gateway/peer_links.py
@@ -60,7 +60,7 @@
         self.peers = solo.SoloPeers(peer)
         self.facts = solo.LocalFactBoard()
 
-    def start(self, pool, stop):
+    def start(self, runner):
         """Start nothing."""
 
     def learn(self, addresses):
@@ -125,14 +125,14 @@
         """IP number and port that peers connect to."""
         return self._transport.address
 
-    def start(self, pool, stop):
-        """Join the fleet; the parts run in `pool` until the event `stop` is set."""
+    def start(self, runner):
+        """Join the fleet; `runner` runs the parts until the host stops."""
         self._transport.start()
         self._keys.refresh()
         self.peers.tick()
-        pool.submit(self.peers.run, stop)
-        pool.submit(self._keys.run, stop)
-        pool.submit(self._push_urgent, stop)
+        runner.start(self.peers.run)
+        runner.start(self._keys.run)
+        runner.start(self._push_urgent)
 
     def learn(self, addresses):
         """Take the peer addresses of entry hosts that the platform lists."""
