--- a/src/peridothitch/cli/standin.py
+++ b/src/peridothitch/cli/standin.py
@@ -1,6 +1,7 @@
 """``peridothitch standin``: small stand-ins for the platform and the upstreams."""
 
 import datetime
+import os
 
 import click
 
@@ -15,6 +16,8 @@
 
 __all__ = ["standin"]
 
+_CRASH_EXIT_CODE = 70
+
 _listen = click.option(
     "--listen",
     default="127.0.0.1:0",
@@ -23,6 +26,10 @@
 )
 
 
+def _end_process():
+    os._exit(_CRASH_EXIT_CODE)
+
+
 def _announce(port):
     click.echo(f"listening on port {port}")
 
@@ -66,6 +73,7 @@
         datetime.timedelta(milliseconds=first_token_ms),
         datetime.timedelta(milliseconds=token_gap_ms),
     )
+    application.faults.crash = _end_process
     processes.serve_application(application, listen, _announce)
 
 
@@ -74,7 +82,9 @@
 @click.option("--name", default="service", show_default=True, help="Replica's name.")
 def service(listen, name):
     """Run a plain service."""
-    processes.serve_application(services.Service(name), listen, _announce)
+    application = services.Service(name, system_clock.SystemClock())
+    application.faults.crash = _end_process
+    processes.serve_application(application, listen, _announce)
 
 
 @standin.command()
--- /dev/null
+++ b/src/peridothitch/standins/faults.py
@@ -0,0 +1,61 @@
+"""Faults that a stand-in upstream can be told to have."""
+
+import dataclasses
+
+import msgspec
+
+__all__ = ["CrashedError", "FaultSwitch", "POISON", "answer_fault_order"]
+
+POISON = "poison-prompt"
+"""A prompt or body that holds this text crashes the stand-in that runs it."""
+
+_JSON = [("content-type", "application/json")]
+
+
+class CrashedError(Exception):
+    """The stand-in's process ended; raised where there is no process to end."""
+
+
+def _raise_crashed():
+    raise CrashedError
+
+
+@dataclasses.dataclass
+class FaultSwitch:
+    """The faults in force.
+
+    Attributes
+    ----------
+    refuse : bool
+        Answer 503 before running.
+    freeze : bool
+        Run the request and never answer.
+    leaving : bool
+        Send the header that tells of a reclaim notice.
+    die_after_tokens : int
+        End the process after so many tokens in all; 0 for never.
+    crash : callable
+        Ends the process.
+    """
+
+    refuse: bool = False
+    freeze: bool = False
+    leaving: bool = False
+    die_after_tokens: int = 0
+    crash: object = _raise_crashed
+
+    def order(self, fields):
+        """Set the faults named in a dict; others stay as they are."""
+        for name in ("refuse", "freeze", "leaving", "die_after_tokens"):
+            setattr(self, name, fields.get(name, getattr(self, name)))
+
+    def headers(self):
+        """Return the response headers that the faults add."""
+        return [("x-upstream-leaving", "true")] if self.leaving else []
+
+
+def answer_fault_order(switch, environ, start_response):
+    """Answer a WSGI request that sets faults."""
+    switch.order(msgspec.json.decode(environ["wsgi.input"].read()))
+    start_response("200 OK", _JSON)
+    return [b"{}"]
