Judge requests by a fault matrix and generated histories

Fakes at the interfaces run real handlers and stand-ins on a virtual clock; every answer is checked against what the stand-ins ran.

--- /dev/null
+++ b/features/request_bench.py
@@ -0,0 +1,378 @@
+"""Runs one request's history through entry hosts in one process and judges it."""
+
+import contextlib
+import dataclasses
+import json
+
+import request_fakes as fakes
+
+from peridothitch.adapters import memory_store, metrics, traces
+from peridothitch.coordination import solo
+from peridothitch.gateway import admission, assembly, customers, upstreams, versions
+from peridothitch.policy import document as documents
+from peridothitch.ports import messages, outcomes, peers, upstream
+from peridothitch.standins import engine, faulty_store, hosts, service
+
+SECOND = fakes.SECOND
+KEY = "caller-key"
+TOKENS = 8
+TRIES = 7
+STEPS = (
+    "read",
+    "admitted",
+    "claimed",
+    "connected",
+    "sent",
+    "first byte",
+    "mid-stream",
+    "answered",
+    "recorded",
+    "reply",
+)
+KINDS = ("payment", "booking", "bulletin", "lookup", "chat")
+STREAMED = frozenset({"bulletin", "chat"})
+DURABLE = frozenset({"bulletin", "booking"})
+PATIENCE_TURNS = 8
+HEAL = 12 * SECOND
+REPLY_CHUNK = 5
+
+ROUTES = {
+    "payment": ("POST", "/payments", "desk", documents.Effect.ONCE),
+    "booking": ("POST", "/bookings", "desk", documents.Effect.DURABLE),
+    "bulletin": ("POST", "/v1/bulletins", "writer", documents.Effect.DURABLE),
+    "lookup": ("GET", "/archive", "desk", documents.Effect.IDEMPOTENT),
+    "chat": ("POST", "/v1/chat/completions", "writer", documents.Effect.IDEMPOTENT),
+}
+
+
+def make_document():
+    plain = documents.Service(
+        protocol=documents.Protocol.PLAIN,
+        current="v1",
+        versions={"v1": documents.Version()},
+    )
+    chat = dataclasses.replace(plain, protocol=documents.Protocol.CHAT)
+    routes = {
+        name: documents.Route(method=method, path=path, service=target, effect=effect)
+        for name, (method, path, target, effect) in ROUTES.items()
+    }
+    customer = documents.Customer(key_sha256=[customers.hash_key(KEY)])
+    return documents.Document(
+        route_by_name=routes,
+        customer_by_name={"parish": customer},
+        service_by_name={"desk": plain, "writer": chat},
+    )
+
+
+class _Feed:
+    def __init__(self):
+        self._document = make_document()
+
+    def current(self):
+        return self._document
+
+
+class _Admission(admission.Admission):
+    def __init__(self, bench):
+        self._bench = bench
+
+    @contextlib.contextmanager
+    def admit(self, job):
+        self._bench.at("admitted")
+        with super().admit(job) as usage:
+            yield usage
+
+
+class _ChatPath:
+    """Serves an engine's chat path under the routes' paths too."""
+
+    def __init__(self, application):
+        self.engine = application
+
+    def __call__(self, environ, start_response):
+        if environ["PATH_INFO"] == "/v1/bulletins":
+            environ["PATH_INFO"] = "/v1/chat/completions"
+        return self.engine(environ, start_response)
+
+
+class Observer(outcomes.AttemptObserver):
+    """Keeps the outcomes of all attempts."""
+
+    def __init__(self):
+        self.outcomes = []
+
+    def observe(self, outcome):
+        self.outcomes.append(outcome)
+
+
+@dataclasses.dataclass
+class Told:
+    """What one try of the caller ended with."""
+
+    host_id: str
+    status: int = 0
+    code: int = 0
+    ran: str = ""
+    body: bytes = b""
+    cut: bool = False
+    runs_then: int = 0
+
+
+class Bench:
+    """Three entry hosts, six upstreams, one store and one caller."""
+
+    def __init__(self, strikes, plan=(), sampled=True):
+        self.strikes = strikes
+        self.clock = fakes.VirtualClock()
+        self.network = fakes.PeerNetwork()
+        self.memory = memory_store.MemoryStore(self.clock)
+        self.board = solo.LocalFactBoard()
+        self.observer = Observer()
+        self.store = faulty_store.FaultyStore(self.memory, self.clock)
+        self.host_list = hosts.StaticHostList()
+        self.machine_by_id = {}
+        self.line = None
+        self.mid_stream_events = 3
+        self.background = []
+        self.reached = []
+        self.plan = list(plan)
+        self.caller_left = False
+        self.patience = 0
+        self.kill_count = 0
+        self.runs_before_return = 0
+        self.nested = []
+        self.request = None
+        self._acting = []
+        self._add_upstreams(sampled)
+        self.view_by_id = {}
+        self.handler_by_id = {
+            f"entry-{index}": self._make_host(f"entry-{index}", "abc"[index])
+            for index in range(3)
+        }
+
+    def _add_upstreams(self, sampled):
+        for index, data_centre in enumerate("abc"):
+            name = f"writer-{index}"
+            model = engine.Engine(name, "v1", self.clock, sampled=sampled)
+            self._add_upstream(name, "writer", data_centre, _ChatPath(model))
+            name = f"desk-{index}"
+            self._add_upstream(name, "desk", data_centre, service.Service(name))
+
+    def _add_upstream(self, name, target, data_centre, application):
+        host = upstream.Host(
+            host_id=name,
+            address=name,
+            service=target,
+            version="v1",
+            data_centre=data_centre,
+        )
+        self.host_list.put(host)
+        self.machine_by_id[name] = fakes.Machine(host, application)
+
+    def _make_host(self, host_id, data_centre):
+        peer = peers.Peer(host_id=host_id, address=host_id, data_centre=data_centre)
+        self.peers = fakes.FakePeers(self.network, peer)
+        counters = metrics.Metrics()
+        view = upstreams.UpstreamView(self.host_list, self.clock, counters)
+        view.refresh()
+        self.view_by_id[host_id] = view
+        return make_handler(self, host_id, data_centre, view, counters)
+
+    # Faults
+
+    def at(self, step):
+        """Let the faults planned for a step strike."""
+        due = [item for item in self.plan if item[0] == step]
+        for item in due:
+            if item in self.plan:
+                self.plan.remove(item)
+                self.strikes[item[1]](self)
+
+    def flush(self):
+        """Let the faults of steps strike that the store has noted."""
+        reached, self.reached = self.reached, []
+        for step in reached:
+            self.at(step)
+
+    def die(self, host_id):
+        if host_id in self.network.dead:
+            return
+        self.network.dead.add(host_id)
+        self.clock.schedule(HEAL, self._replace_host)
+
+    def _replace_host(self):
+        index = len(self.handler_by_id)
+        host_id = f"entry-{index}"
+        self.handler_by_id[host_id] = self._make_host(host_id, "abc"[index % 3])
+
+    # Running
+
+    @property
+    def acting(self):
+        return self._acting[-1]
+
+    def settle(self):
+        """Let background work and periodic sweeps of the live hosts run."""
+        for view in self.view_by_id.values():
+            view.refresh()
+        run_background(self)
+
+    def send(self, host_id, last_event_id=None):
+        """Send the request through one host; returns what the caller was told."""
+        told = Told(host_id)
+        self._acting.append(host_id)
+        self.caller_left = False
+        try:
+            self._exchange(told, last_event_id)
+        except fakes.HostDied:
+            told.cut = True
+        finally:
+            self._acting.pop()
+        told.runs_then = self.runs()
+        return told
+
+    def _exchange(self, told, last_event_id):
+        if told.host_id in self.network.dead:
+            raise fakes.HostDied
+        self.at("read")
+        headers = dict(self.request.header_by_name)
+        if last_event_id is not None:
+            headers["last-event-id"] = str(last_event_id)
+        request = dataclasses.replace(
+            self.request,
+            header_by_name=headers,
+            caller_gone=lambda: self.caller_left,
+        )
+        reply = self.handler_by_id[told.host_id].handle(request)
+        self.flush()
+        told.status = reply.status
+        chunks = iter(reply.chunks)
+        received = []
+        try:
+            for chunk in chunks:
+                self.flush()
+                received.append(chunk)
+                told.body = b"".join(received)
+                if len(received) == REPLY_CHUNK:
+                    self.at("reply")
+                if self.caller_left:
+                    told.cut = True
+                    break
+            if len(received) < REPLY_CHUNK:
+                self.at("reply")
+        finally:
+            if hasattr(chunks, "close"):
+                chunks.close()
+        _note_problem(told, reply)
+
+    def texts(self):
+        """Return the texts of the engines' last runs, resumed parts included."""
+        return {
+            text
+            for machine in self.machine_by_id.values()
+            if hasattr(machine.application, "engine")
+            for texts in machine.application.engine.counts.texts_by_request_id.values()
+            for text in texts
+        }
+
+    def runs(self):
+        """Return how often upstreams ran the request."""
+        key = self.request.header_by_name["idempotency-key"]
+        total = 0
+        for machine in self.machine_by_id.values():
+            model = getattr(machine.application, "engine", None)
+            if model is None:
+                total += machine.application.run_count(key)
+            else:
+                total += sum(model.counts.run_count_by_request_id.values())
+        return total
+
+
+def _note_problem(told, reply):
+    if "problem+json" in reply.header_by_name.get("content-type", ""):
+        fields = json.loads(told.body)
+        told.code, told.ran = fields["code"], fields["ran"]
+    elif b"event: error" in told.body:
+        line = told.body.rpartition(b"data: ")[2]
+        fields = json.loads(line)["error"]
+        told.code, told.ran = fields["code"], fields["ran"]
+
+
+class _Queue:
+    """Runs background work when the bench lets it."""
+
+    def __init__(self, bench, host_id):
+        self._bench = bench
+        self._host_id = host_id
+
+    def submit(self, work, *arguments):
+        self._bench.background.append((self._host_id, work, arguments))
+
+
+def make_handler(bench, host_id, data_centre, view, counters):
+    return assembly.make_handler(
+        assembly.Surroundings(
+            feed=_Feed(),
+            view=view,
+            transport=fakes.WsgiTransport(bench, host_id),
+            store=fakes.HookedStore(bench.store, bench, host_id),
+            peers=bench.peers,
+            board=bench.board,
+            clock=bench.clock,
+            metrics=counters,
+            tracer=traces.Tracer(host_id),
+            admission=_Admission(bench),
+            version_picker=versions.VersionPicker(),
+            observers=(bench.observer,),
+            executor=_Queue(bench, host_id),
+            data_centre=data_centre,
+        )
+    )
+
+
+def run_background(bench):
+    """Run queued work of live hosts, then one sweep of each, then what that queued."""
+    _run_queue(bench)
+    for host_id in sorted(bench.handler_by_id):
+        if host_id not in bench.network.dead:
+            _run_as(bench, host_id, bench.handler_by_id[host_id].keeper.sweep, ())
+    _run_queue(bench)
+
+
+def _run_queue(bench):
+    queued, bench.background = bench.background, []
+    for host_id, work, arguments in queued:
+        if host_id not in bench.network.dead:
+            _run_as(bench, host_id, work, arguments)
+
+
+def _run_as(bench, host_id, work, arguments):
+    bench._acting.append(host_id)
+    bench.caller_left = False
+    try:
+        work(*arguments)
+        bench.flush()
+    except fakes.HostDied:
+        pass
+    finally:
+        bench._acting.pop()
+
+
+def make_request(kind, poisoned=False):
+    method, path, _, _ = ROUTES[kind]
+    body = b"" if method == "GET" else b'{"amount": "12"}'
+    if kind in ("bulletin", "chat"):
+        content = "poison-prompt" if poisoned else "write"
+        messages_ = [{"role": "user", "content": content}]
+        fields = {"stream": True, "max_tokens": TOKENS, "messages": messages_}
+        body = json.dumps(fields).encode()
+    elif poisoned:
+        body = b'{"note": "poison-prompt"}'
+    header_by_name = {
+        "authorization": f"Bearer {KEY}",
+        "idempotency-key": "key-1",
+        "content-type": "application/json",
+    }
+    return messages.Request(
+        method=method, path=path, header_by_name=header_by_name, body=body
+    )
--- /dev/null
+++ b/features/request_faults.py
@@ -0,0 +1,152 @@
+"""Faults that strike a request, by the name that the matrix prints."""
+
+import dataclasses
+import datetime
+
+import request_bench as benches
+import request_fakes as fakes
+
+from peridothitch.ports import upstream
+from peridothitch.standins import faulty_store
+
+
+def _replace_later(bench, machine):
+    def replace():
+        machine.dead = machine.frozen = machine.refuses = machine.failing = False
+
+    bench.clock.schedule(benches.HEAL, replace)
+
+
+def _kill_upstream(bench):
+    if bench.line is not None:
+        bench.line.machine.dead = True
+        bench.kill_count += 1
+        _replace_later(bench, bench.line.machine)
+
+
+def _freeze_upstream(bench):
+    if bench.line is not None:
+        bench.line.machine.frozen = True
+        _replace_later(bench, bench.line.machine)
+
+
+def _set_line(name):
+    def strike(bench):
+        if bench.line is not None:
+            setattr(bench.line, name, True)
+
+    return strike
+
+
+def _set_all(name):
+    def strike(bench):
+        for index in range(2):
+            for kind in ("desk", "writer"):
+                machine = bench.machine_by_id[f"{kind}-{index}"]
+                setattr(machine, name, True)
+                _replace_later(bench, machine)
+
+    return strike
+
+
+def _store_fault(fault, count=None, delay=datetime.timedelta(0)):
+    def strike(bench):
+        bench.store.inject(
+            faulty_store.FaultRule(fault=fault, count=count, delay=delay)
+        )
+        bench.clock.schedule(8 * benches.SECOND, bench.store.clear)
+
+    return strike
+
+
+def _kill_entry(bench):
+    bench.die(bench.acting)
+    raise fakes.HostDied
+
+
+def _reclaim(bench):
+    data_centre = "a"
+    doomed = [
+        machine
+        for machine in bench.machine_by_id.values()
+        if machine.host.data_centre == data_centre
+    ]
+
+    def list_leaving():
+        for machine in doomed:
+            leaving = dataclasses.replace(
+                machine.host, state=upstream.HostState.LEAVING
+            )
+            bench.host_list.put(leaving)
+
+    def end():
+        bench.die("entry-0")
+        for machine in doomed:
+            machine.dead = True
+        bench.clock.schedule(2 * benches.HEAL, replace)
+
+    def replace():
+        for machine in doomed:
+            machine.dead = False
+            bench.host_list.put(machine.host)
+
+    bench.clock.schedule(benches.SECOND, list_leaving)
+    bench.clock.schedule(2 * benches.SECOND, end)
+    bench.clock.advance(3 * benches.SECOND)
+    if bench.acting == "entry-0":
+        raise fakes.HostDied
+
+
+def _leave(bench):
+    bench.caller_left = True
+
+
+def _leave_long(bench):
+    bench.caller_left = True
+    bench.patience = benches.PATIENCE_TURNS
+
+
+def _kill_entry_long(bench):
+    bench.patience = benches.PATIENCE_TURNS
+    _kill_entry(bench)
+
+
+def _double(bench):
+    host_ids = [name for name in sorted(bench.handler_by_id) if name != bench.acting]
+    left = bench.caller_left
+    line = bench.line
+    bench.nested.append(bench.send(host_ids[0]))
+    bench.line = line
+    bench.caller_left = left
+
+
+def _cut_peers(bench):
+    bench.network.cut.add(bench.acting)
+    acting = bench.acting
+    bench.clock.schedule(8 * benches.SECOND, lambda: bench.network.cut.discard(acting))
+
+
+STRIKE_BY_FAULT = {
+    "upstream killed": _kill_upstream,
+    "upstream frozen": _freeze_upstream,
+    "upstream refuses": _set_all("refuses"),
+    "upstream fails": _set_all("failing"),
+    "connection cut": _set_line("cut"),
+    "connection silent": _set_line("silent"),
+    "answer duplicated": _set_line("duplicate"),
+    "answer reordered": _set_line("reorder"),
+    "answer of another request": _set_line("stale"),
+    "data centre reclaimed": _reclaim,
+    "store down": _store_fault(faulty_store.Fault.DOWN),
+    "store slow": _store_fault(faulty_store.Fault.SLOW, 2, 2 * benches.SECOND),
+    "store reply lost": _store_fault(faulty_store.Fault.REPLY_LOST, 1),
+    "store request lost": _store_fault(faulty_store.Fault.REQUEST_LOST, 1),
+    "entry host killed": _kill_entry,
+    "entry host killed, caller away": _kill_entry_long,
+    "entry host paused": lambda bench: bench.clock.advance(20 * benches.SECOND),
+    "peers cut off": _cut_peers,
+    "caller leaves": _leave,
+    "caller leaves for long": _leave_long,
+    "caller sends twice": _double,
+}
+FAULTS = tuple(STRIKE_BY_FAULT)
--- /dev/null
+++ b/features/request_judge.py
@@ -0,0 +1,230 @@
+"""Judges histories of one request against what the stand-ins really ran."""
+
+import dataclasses
+import json
+import random
+
+import request_bench as benches
+import request_faults as faults
+
+from peridothitch import errors
+
+EVENT_COUNT = benches.TOKENS + 2
+OK = 200
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """What a history came to; the strings are empty when a promise held.
+
+    A request is rightly quarantined when two upstreams were killed while they ran it,
+    since nothing tells that from a request that crashes them.
+    """
+
+    lost: str = ""
+    doubled: str = ""
+    wrong: str = ""
+    quarantined: bool = False
+
+    @property
+    def marks(self):
+        pairs = (("L", self.lost), ("D", self.doubled), ("W", self.wrong))
+        return "".join(mark for mark, text in pairs if text)
+
+
+@dataclasses.dataclass
+class Caller:
+    """One caller that asks until it has the whole answer."""
+
+    kind: str
+    token_by_id: dict = dataclasses.field(default_factory=dict)
+    fault_texts: list = dataclasses.field(default_factory=list)
+    bodies: set = dataclasses.field(default_factory=set)
+    done: bool = False
+
+    @property
+    def last_event_id(self):
+        if self.kind != "bulletin" or not self.token_by_id:
+            return None
+        return max(self.token_by_id)
+
+    def take(self, told):
+        if self.kind not in benches.STREAMED:
+            self._take_plain(told)
+            return
+        if self.kind == "chat":
+            self.token_by_id = {}
+        self._take_events(told)
+
+    def _take_plain(self, told):
+        if told.cut or told.code or not self._is_final(told):
+            return
+        self.done = True
+        self.bodies.add(told.body)
+        if told.status == OK and b'"key":"key-1"' not in told.body:
+            self.fault_texts.append("the answer of another request")
+
+    def _is_final(self, told):
+        return told.status == OK or self.kind == "payment"
+
+    def _take_events(self, told):
+        if told.status != OK:
+            return
+        for part in told.body.split(b"\n\n"):
+            if b"event: error" in part or b"data: " not in part:
+                continue
+            self._take_event(part)
+        self.done = "[DONE]" in self.token_by_id.values()
+
+    def _take_event(self, part):
+        number = len(self.token_by_id)
+        for line in part.splitlines():
+            if line.startswith(b"id: "):
+                number = int(line[4:])
+        text = part.rpartition(b"data: ")[2].decode()
+        if text != "[DONE]":
+            text = json.loads(text)["choices"][0]["delta"].get("content", "")
+        elif number in self.token_by_id:
+            number += 1
+        if number in self.token_by_id:
+            self.fault_texts.append(f"event {number} came twice")
+        if number != len(self.token_by_id):
+            self.fault_texts.append(f"event {number} out of order")
+        self.token_by_id[number] = text
+
+    def text(self):
+        texts = [self.token_by_id[number] for number in sorted(self.token_by_id)]
+        return "".join(text for text in texts if text != "[DONE]")
+
+
+def run_history(kind, plan, sampled=True, poisoned=False):
+    """Run one history; returns its `Verdict` and the bench."""
+    bench = benches.Bench(faults.STRIKE_BY_FAULT, plan, sampled)
+    bench.request = benches.make_request(kind, poisoned)
+    caller = Caller(kind)
+    tolds = []
+    for number in range(benches.TRIES):
+        host_id = _live_host(bench, number)
+        told, before = _send(bench, host_id, caller)
+        tolds.append((told, before))
+        if not told.cut or kind in benches.STREAMED:
+            caller.take(told)
+        if caller.done:
+            break
+        if bench.patience:
+            _wait_long(bench)
+        bench.clock.advance(4 * benches.SECOND)
+        bench.settle()
+    bench.tolds = tolds
+    return _judge(bench, caller, tolds), bench
+
+
+def _wait_long(bench):
+    for _ in range(bench.patience):
+        bench.clock.advance(4 * benches.SECOND)
+        bench.settle()
+    bench.runs_before_return = bench.runs()
+    bench.patience = 0
+
+
+def _live_host(bench, number):
+    while True:
+        dead = bench.network.dead
+        live = [name for name in sorted(bench.handler_by_id) if name not in dead]
+        if live:
+            return live[number % len(live)]
+        bench.clock.advance(benches.SECOND)
+
+
+def _send(bench, host_id, caller):
+    before = bench.runs()
+    nested = len(bench.nested)
+    told = bench.send(host_id, caller.last_event_id)
+    if len(bench.nested) > nested:
+        before = None
+    return told, before
+
+
+def _judge(bench, caller, tolds):
+    quarantined = _is_quarantined(bench, caller, tolds)
+    return Verdict(
+        quarantined=quarantined,
+        lost="" if quarantined else _lost(bench, caller, tolds),
+        doubled=_doubled(bench, caller),
+        wrong=_wrong(bench, caller, tolds),
+    )
+
+
+def _is_quarantined(bench, caller, tolds):
+    told = tolds[-1][0].code == errors.Code.REQUEST_QUARANTINED
+    return told and not caller.done and bench.kill_count >= 2
+
+
+def _lost(bench, caller, tolds):
+    if caller.done:
+        return _not_completed(bench, caller)
+    last = tolds[-1][0]
+    if caller.kind == "payment" and last.ran == "unknown":
+        return ""
+    return f"{caller.kind} ended with {last.status} {last.code} {last.ran}"
+
+
+def _not_completed(bench, caller):
+    before = bench.runs_before_return
+    if caller.kind not in benches.DURABLE or not before:
+        return ""
+    return "ran on only when asked for again" if bench.runs() > before else ""
+
+
+def _doubled(bench, caller):
+    if caller.kind == "payment" and bench.runs() > 1:
+        return f"ran {bench.runs()} times"
+    return ""
+
+
+def _wrong(bench, caller, tolds):
+    for told, before in tolds:
+        if told.ran == "no" and before is not None and told.runs_then > before:
+            return f"told not run with code {told.code}, but it ran"
+    if caller.fault_texts:
+        return caller.fault_texts[0]
+    if caller.done and caller.kind in benches.STREAMED:
+        return _wrong_text(bench, caller)
+    if caller.kind == "payment" and len(caller.bodies) > 1:
+        return "two different answers"
+    return ""
+
+
+def _wrong_text(bench, caller):
+    marks = [token.split("/")[0].strip() for token in caller.text().split()]
+    if marks != [f"t{index}" for index in range(benches.TOKENS)]:
+        return f"answer holds {marks}"
+    if caller.text() not in bench.texts():
+        return f"no engine wrote {caller.text()!r}"
+    return ""
+
+
+def cells():
+    """Return every fault at every step for every kind of request."""
+    return [
+        (fault, step, kind)
+        for fault in faults.FAULTS
+        for step in benches.STEPS
+        for kind in benches.KINDS
+    ]
+
+
+def generate_plan(source):
+    """Return a kind, a plan of one to four faults and whether tokens are sampled."""
+    plan = [
+        (source.choice(benches.STEPS), source.choice(faults.FAULTS))
+        for _ in range(source.randint(1, 4))
+    ]
+    return source.choice(benches.KINDS), plan, source.random() < 0.5
+
+
+def histories(seed, count):
+    """Yield generated plans."""
+    source = random.Random(seed)
+    for _ in range(count):
+        yield generate_plan(source)
