Let requests wait for their turn in the entry host

Upstream limits shed at once before; now requests wait in weighted fair order until their deadline, and only a full queue or a passed deadline sheds.

--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -25,3 +25,8 @@
     Given a fair gate with room for 1 request and a queue of 3
     When one request runs and the caller of a waiting request leaves
     Then nobody waits and nothing is left behind
+
+  Scenario: Batch requests leave room for others
+    Given a fair gate with room for 2 requests and for 1 of a batch
+    When 3 batch requests arrive and then an ordinary one
+    Then 1 batch request runs beside the ordinary one
--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -1,4 +1,5 @@
 import contextlib
+import dataclasses
 import datetime
 import threading
 
@@ -211,6 +212,49 @@
                 self.codes.append(error.code)
 
 
+def _batch_job():
+    job = _job()
+    route = dataclasses.replace(job.route, priority=documents.Priority.BATCH)
+    return dataclasses.replace(job, match=routes.RouteMatch("rota", route))
+
+
+@behave.given(
+    "a fair gate with room for {room:d} requests and for {batch:d} of a batch"
+)
+def make_gate_for_batches(context, room, batch):
+    room_by_priority = dict.fromkeys(PRIORITIES, room)
+    room_by_priority[documents.Priority.BATCH] = batch
+    gate = turns.FairGate(
+        admission.Admission(),
+        lambda service, priority: room_by_priority[priority],
+        system_clock.SystemClock(),
+        metrics.Metrics(),
+    )
+    context.callers = _Callers(gate)
+
+
+@behave.when("{count:d} batch requests arrive and then an ordinary one")
+def arrive_in_batch(context, count):
+    callers = context.callers
+    for _ in range(count):
+        callers.start(_batch_job())
+    processes.wait_until(
+        lambda: callers.running + callers.gate.waiting_count(SERVICE) == count
+    )
+    context.batch_running = callers.running
+    callers.start(_job())
+    processes.wait_until(lambda: callers.running == context.batch_running + 1)
+
+
+@behave.then("{count:d} batch request runs beside the ordinary one")
+def check_batch(context, count):
+    assert context.batch_running == count
+    context.callers.may_end.set()
+    for thread in context.callers.threads:
+        thread.join()
+    assert not context.callers.codes
+
+
 @behave.given("a fair gate with room for {room:d} request and a queue of {capacity:d}")
 def make_gate(context, room, capacity):
     original = turns.QUEUE_CAPACITY
@@ -218,7 +262,7 @@
     context.add_cleanup(setattr, turns, "QUEUE_CAPACITY", original)
     gate = turns.FairGate(
         admission.Admission(),
-        lambda service: room,
+        lambda service, priority: room,
         system_clock.SystemClock(),
         metrics.Metrics(),
     )
--- a/src/peridothitch/gateway/assembly.py
+++ b/src/peridothitch/gateway/assembly.py
@@ -14,6 +14,7 @@
     leaving,
     limits,
     quarantine,
+    turns,
 )
 
 __all__ = ["Surroundings", "make_handler"]
@@ -90,7 +91,9 @@
     )
     return handler.RequestHandler(
         intake=checks,
-        admission=given.admission,
+        admission=turns.FairGate(
+            given.admission, dispatcher.capacity, given.clock, given.metrics
+        ),
         dispatcher=dispatcher,
         guard=guard,
         once=keyed.OnceRequests(claim_book, dispatcher, given.metrics),
--- a/src/peridothitch/gateway/dispatch.py
+++ b/src/peridothitch/gateway/dispatch.py
@@ -51,6 +51,15 @@
     data_centre: str
     random_source: random.Random = dataclasses.field(default_factory=random.Random)
 
+    def capacity(self, service, priority):
+        """Return how many requests of a service may be in progress from here."""
+        live = (
+            host.host_id
+            for host in self.leaving.mark(self.view.hosts(service))
+            if host.state is upstream.HostState.LIVE
+        )
+        return self.limits.capacity(live, priority)
+
     def search(self, job, span):
         """Return a `Search` for a request."""
         return Search(self, job, span)
--- a/src/peridothitch/gateway/limits.py
+++ b/src/peridothitch/gateway/limits.py
@@ -24,6 +24,10 @@
         """Return whether one more request of a priority fits at a host."""
         return self._limit(host_id).allows(in_flight, priority)
 
+    def capacity(self, host_ids, priority):
+        """Return how many requests fit at all of the given hosts together."""
+        return sum(int(self._limit(host_id).room(priority)) for host_id in host_ids)
+
     def note_answer(self, job, host_id, first_byte, in_flight_by_host_id):
         """Learn from the begin of an answer.
 
--- a/src/peridothitch/gateway/turns.py
+++ b/src/peridothitch/gateway/turns.py
@@ -6,6 +6,7 @@
 
 from peridothitch import errors
 from peridothitch.gateway import admission
+from peridothitch.policy import document as documents
 from peridothitch.policy import fairness
 
 __all__ = ["FairGate"]
@@ -49,7 +50,8 @@
     ----------
     inner : peridothitch.gateway.admission.Admission
     capacity : callable
-        Returns how many requests of a service may be in progress from this host.
+        Returns how many requests of a service may be in progress from this host
+        when one of the given priority is added.
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
     """
@@ -117,8 +119,17 @@
 
     def _advance(self, service, line):
         """Grant turns while there is room; the caller holds the lock."""
-        while len(line.queue) and line.active_count < max(1, self._capacity(service)):
-            ticket, expired = line.queue.take(self._clock.monotonic())
+        # Without any upstream all are let through, to be told so at once.
+        room_by_priority = {
+            priority: self._capacity(service, priority) or QUEUE_CAPACITY
+            for priority in documents.Priority
+        }
+
+        def admits(ticket):
+            return line.active_count < room_by_priority[ticket.priority]
+
+        while True:
+            ticket, expired = line.queue.take(self._clock.monotonic(), admits)
             for late in expired:
                 line.turn_by_ticket_id.pop(id(late)).decide(False)
             if ticket is None:
--- a/src/peridothitch/policy/concurrency.py
+++ b/src/peridothitch/policy/concurrency.py
@@ -39,7 +39,11 @@
 
     def allows(self, in_flight, priority):
         """Return whether one more request of a priority fits."""
-        return in_flight < max(1.0, self.limit * _SHARE_BY_PRIORITY[priority])
+        return in_flight < self.room(priority)
+
+    def room(self, priority):
+        """Return how many requests may be in progress when one of a priority starts."""
+        return max(1.0, self.limit * _SHARE_BY_PRIORITY[priority])
 
     def after_answer(self, first_byte, in_flight):
         """Return the limit after an answer began.
--- a/src/peridothitch/policy/fairness.py
+++ b/src/peridothitch/policy/fairness.py
@@ -93,13 +93,15 @@
             return None
         return self._shed()
 
-    def take(self, now):
+    def take(self, now, admits=lambda ticket: True):
         """Remove the next request.
 
         Parameters
         ----------
         now : datetime.timedelta
             Monotonic time.
+        admits : callable
+            Tells whether there is room for a `Ticket`; the others keep waiting.
 
         Returns
         -------
@@ -110,9 +112,10 @@
         for one in late:
             self._remove(one)
         expired = tuple(one.ticket for one in late)
-        if not self._waiting:
+        fitting = [one for one in self._waiting if admits(one.ticket)]
+        if not fitting:
             return None, expired
-        chosen = min(self._waiting, key=_Waiting.rank)
+        chosen = min(fitting, key=_Waiting.rank)
         self._waiting.remove(chosen)
         self._virtual_time = max(self._virtual_time, chosen.start)
         self._forget_idle()
