--- a/benchmarks/control_plane.py
+++ b/benchmarks/control_plane.py
@@ -28,7 +28,7 @@
 )
 from peridothitch.coordination import documents
 from peridothitch.gateway import embedded
-from peridothitch.standins import hosts, store
+from peridothitch.standins import faulty_store, hosts, store
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ANY_PORT = "127.0.0.1:0"
@@ -37,6 +37,8 @@
 TARGET_SIZE = 380
 # Of TCP/IP over Ethernet: a request, an answer and an acknowledgement of 66 bytes.
 HEADER_BYTES_PER_CALL = 198
+# Open watches take a thread each.
+STORE_THREADS = 64
 SETTLE_SECONDS = 15
 EDITS = 5
 EDIT_GAP_SECONDS = 2.0
@@ -66,14 +68,38 @@
     killed_seconds: list
 
 
+class CountingStore:
+    """Counts the calls for control, as opposed to spending and moves."""
+
+    def __init__(self, inner):
+        self._inner = inner
+        self.calls = 0
+
+    def __getattr__(self, name):
+        value = getattr(self._inner, name)
+        if not callable(value):
+            return value
+
+        def call(*arguments):
+            text = repr(arguments)
+            if "/document/" in text or "/members/" in text or "lease" in name:
+                self.calls += 1
+            return value(*arguments)
+
+        return call
+
+
 class Bench:
     """A store, a host list and entry hosts as processes."""
 
     def __init__(self):
         clock = system_clock.SystemClock()
-        self.memory = memory_store.MemoryStore(clock)
+        memory = memory_store.MemoryStore(clock)
+        self.memory = CountingStore(faulty_store.FaultyStore(memory, clock))
         self.servers = [
-            wsgi_front.WsgiServer(store.StoreService(self.memory), ANY_PORT),
+            wsgi_front.WsgiServer(
+                store.StoreService(self.memory), ANY_PORT, threads=STORE_THREADS
+            ),
             wsgi_front.WsgiServer(
                 hosts.HostListService(hosts.StaticHostList()), ANY_PORT
             ),
@@ -135,8 +161,8 @@
         raise RuntimeError("the hosts did not find each other")
 
     def store_calls(self):
-        """Return the calls that the store has taken."""
-        return sum(self.memory.call_count_by_method.values())
+        """Return the calls for control that the store has taken."""
+        return self.memory.calls
 
     def cpu_seconds(self):
         """Return the processor time of all hosts."""
--- a/src/peridothitch/cli/status.py
+++ b/src/peridothitch/cli/status.py
@@ -1,4 +1,4 @@
-"""``peridothitch status``: what the entry hosts report."""
+"""``peridothitch status``: what is done and undone, and which hosts lack it."""
 
 import http.client
 import json
@@ -7,24 +7,66 @@
 
 __all__ = ["status"]
 
-_TIMEOUT_SECONDS = 2.0
+_TIMEOUT_SECONDS = 5.0
+_EXIT_UNREACHABLE = 4
+_EXIT_UNDONE = 7
 
 
 @click.command()
 @click.argument("addresses", nargs=-1, required=True)
-def status(addresses):
-    """Print readiness of the entry hosts at ADDRESSES (IP number and port)."""
-    report = {address: _read_readiness(address) for address in addresses}
-    click.echo(json.dumps(report, indent=2))
+@click.option(
+    "--output",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    show_default=True,
+    help="Form of the report.",
+)
+@click.pass_context
+def status(ctx, addresses, output):
+    """Print what the entry hosts report as done and undone.
 
+    The first of ADDRESSES (IP number and port for callers) that answers asks all other
+    entry hosts. Ends with exit code 7 when a change is not in force on every live host,
+    and with 4 when none of ADDRESSES answers.
+    """
+    fault_by_address = {}
+    for address in addresses:
+        try:
+            report = _get(address, "/v1/status")
+            report["moves"] = _get(address, "/v1/moves").get("moves", [])
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            fault_by_address[address] = str(error)
+            continue
+        click.echo(json.dumps(report, indent=2) if output == "json" else _text(report))
+        ctx.exit(0 if report["done"] else _EXIT_UNDONE)
+    for address, fault in fault_by_address.items():
+        click.echo(f"{address} does not answer: {fault}", err=True)
+    ctx.exit(_EXIT_UNREACHABLE)
 
-def _read_readiness(address):
+
+def _get(address, path):
     name, _, port = address.rpartition(":")
     connection = http.client.HTTPConnection(name, int(port), timeout=_TIMEOUT_SECONDS)
     try:
-        connection.request("GET", "/readyz")
-        return json.loads(connection.getresponse().read())
-    except (OSError, http.client.HTTPException) as error:
-        return {"ready": False, "error": str(error)}
+        connection.request("GET", path)
+        response = connection.getresponse()
+        body = response.read()
     finally:
         connection.close()
+    if response.status != http.client.OK:
+        raise http.client.HTTPException(f"status {response.status}")
+    return json.loads(body)
+
+
+def _text(report):
+    state = "done" if report["done"] else "undone"
+    age = report["confirmed_seconds"]
+    lines = [f"revision {report['revision']}: {state}, confirmed {age:.1f} s ago"]
+    for host_id in report["lacking"]:
+        host = report["report_by_host"][host_id]
+        reason = f"has revision {host['revision']}"
+        if host["rejected_revision"] > host["revision"]:
+            reason += f", can't read {host['rejected_revision']}"
+        lines.append(f"{host_id}: {reason}")
+    lines += [f"{host_id}: does not answer" for host_id in report["unreachable"]]
+    return "\n".join(lines)
