Let the fault matrix check hosts while the store is down; document the coordination parts

The matrix passed over the time limit whenever the store was down. Without that exception one pair failed: a change accepted in the moment before the store went down, which no host had read.

--- a/features/fake_documents.py
+++ b/features/fake_documents.py
@@ -16,6 +16,7 @@
 NO_WAIT = datetime.timedelta(0)
 SLOW = datetime.timedelta(milliseconds=300)
 KEYS_PERIOD_STEPS = 60
+READ_TIME = datetime.timedelta(seconds=1)
 Fault = faulty_store.Fault
 
 
@@ -236,6 +237,8 @@
 
     def strike_joined_with_old_view(self):
         self.fleet.edit()
+        # Nobody can follow a change that no host read before the store went down.
+        self.fleet.run(READ_TIME)
         first = sorted(self.fleet.live())[0]
         address = self.fleet.node_by_id[first].transport.address
         host_id = self.fleet.add(seeds=(address, "10.9.9.9:1"), cut_from_store=True)
--- a/features/lease.feature
+++ b/features/lease.feature
@@ -21,3 +21,6 @@
     Given a lease that one process holds
     When the holder is killed and another process takes the lease
     Then the other process acts only after the old deadline and the longest order
+
+  Scenario: The example program embeds the parts without the daemon
+    Then the example "embed_coordination.py" ends with "second holds the lease"
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -105,10 +105,7 @@
     for name in names:
         struck.strike(name)
     fleet.edit()
-    fleet.run_until(
-        lambda: not fleet.lacking(struck.reachable()) or "store_down" in names,
-        IN_FORCE_LIMIT,
-    )
+    fleet.run_until(lambda: not fleet.lacking(struck.reachable()), IN_FORCE_LIMIT)
     fleet.run(IN_FORCE_LIMIT)
     fleet.heal()
     fleet.run_until(lambda: not fleet.lacking(fleet.live()), HEAL_LIMIT)
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -1,8 +1,12 @@
 import datetime
 import itertools
+import os
+import subprocess
+import sys
 
 import behave
 import fake_network
+import processes
 
 from peridothitch import errors
 from peridothitch.adapters import memory_store
@@ -283,3 +287,17 @@
         context.clock.elapsed += SECOND
         context.second.step()
     assert context.clock.elapsed >= context.old_deadline + TERMS.longest_order
+
+
+@behave.then('the example "{name}" ends with "{text}"')
+def check_example(context, name, text):
+    done = subprocess.run(
+        [sys.executable, str(processes.ROOT / "examples" / name)],
+        capture_output=True,
+        text=True,
+        timeout=120,
+        env=os.environ | {"PYTHONPATH": str(processes.ROOT / "src")},
+        check=False,
+    )
+    assert done.returncode == 0, done.stderr
+    assert done.stdout.splitlines()[-1].startswith(text), done.stdout
