Tell "not run" of a refused request only where the service promises it

Cause: a 503 of a plain service was taken as "refused before running" and the request was sent to the next host. Before: a payment that ran and was answered 503 ran at each host and the caller was told code 3001, ran "no" (features/refusals.feature, 0 passed, 2 failed). After: told 3003, "unknown", ran once; services that declare refuses_before_running are believed (2 passed). Model engines refuse before running by their protocol. Also: a request that every host refused is told the refusal's code, not 3001.

--- a/features/request_bench.py
+++ b/features/request_bench.py
@@ -50,6 +50,7 @@
         protocol=documents.Protocol.PLAIN,
         current="v1",
         versions={"v1": documents.Version()},
+        refuses_before_running=True,
     )
     chat = dataclasses.replace(plain, protocol=documents.Protocol.CHAT)
     routes = {
--- a/src/peridothitch/gateway/attempts.py
+++ b/src/peridothitch/gateway/attempts.py
@@ -264,10 +264,11 @@
 
 def _head_error(job, host, exchange):
     if exchange.status in _REFUSED_STATUSES:
+        certain = job.service.refusal_means_not_run
         return errors.UpstreamError(
-            errors.Code.UPSTREAM_REFUSED,
-            f"{host.host_id} refused the request",
-            errors.Ran.NO,
+            errors.Code.UPSTREAM_REFUSED if certain else errors.Code.OUTCOME_UNKNOWN,
+            f"{host.host_id} answered {exchange.status}",
+            errors.Ran.NO if certain else errors.Ran.UNKNOWN,
         )
     answered_id = exchange.header_by_name.get(_REQUEST_ID_HEADER, job.request_id)
     if answered_id != job.request_id:
--- a/src/peridothitch/gateway/dispatch.py
+++ b/src/peridothitch/gateway/dispatch.py
@@ -87,6 +87,7 @@
         self._host = None
         self._never = threading.Event()
         self._version = None
+        self._last_error = None
         parts.budgets.note_request(job.match.name)
 
     def open(self, resume=None):
@@ -145,6 +146,7 @@
         peridothitch.errors.RequestError
             No further attempt may follow.
         """
+        self._last_error = error
         self._may_have_run |= error.ran is not errors.Ran.NO
         if error.code is not errors.Code.CONNECTION_SILENT:
             self._tried.add(self._host.host_id)
@@ -256,6 +258,8 @@
             self._parts.clock.wait(self._never, delay)
 
     def _no_upstream(self):
+        if self._last_error is not None:
+            return self._final(self._last_error)
         return self._final(
             errors.UpstreamError(
                 errors.Code.NO_UPSTREAM,
--- a/src/peridothitch/gateway/embedded.py
+++ b/src/peridothitch/gateway/embedded.py
@@ -46,6 +46,7 @@
       v1: {{weights: assistant-v1}}
   ticketing:
     protocol: plain
+    refuses_before_running: true
     current: v1
     versions:
       v1: {{}}
--- a/src/peridothitch/policy/document.py
+++ b/src/peridothitch/policy/document.py
@@ -139,11 +139,20 @@
         Version that serves unless a move is under way.
     versions : dict of str to Version
         Known versions by name.
+    refuses_before_running : bool
+        Whether its hosts answer 429 and 503 only to requests that they did not run.
+        Model engines always do.
     """
 
     protocol: Protocol
     current: str
     versions: dict[str, Version]
+    refuses_before_running: bool = False
+
+    @property
+    def refusal_means_not_run(self):
+        """Whether a refused request certainly did not run."""
+        return self.protocol is Protocol.CHAT or self.refuses_before_running
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/peridothitch/standins/faults.py
+++ b/src/peridothitch/standins/faults.py
@@ -11,6 +11,14 @@
 
 _JSON = [("content-type", "application/json")]
 
+_ORDERED_FAULTS = (
+    "refuse",
+    "refuse_after_running",
+    "freeze",
+    "leaving",
+    "die_after_tokens",
+)
+
 
 class CrashedError(Exception):
     """The stand-in's process ended; raised where there is no process to end."""
@@ -28,6 +36,8 @@
     ----------
     refuse : bool
         Answer 503 before running.
+    refuse_after_running : bool
+        Run a plain request and answer 503.
     freeze : bool
         Run the request and never answer.
     leaving : bool
@@ -39,6 +49,7 @@
     """
 
     refuse: bool = False
+    refuse_after_running: bool = False
     freeze: bool = False
     leaving: bool = False
     die_after_tokens: int = 0
@@ -46,7 +57,7 @@
 
     def order(self, fields):
         """Set the faults named in a dict; others stay as they are."""
-        for name in ("refuse", "freeze", "leaving", "die_after_tokens"):
+        for name in _ORDERED_FAULTS:
             setattr(self, name, fields.get(name, getattr(self, name)))
 
     def headers(self):
--- a/src/peridothitch/standins/service.py
+++ b/src/peridothitch/standins/service.py
@@ -69,6 +69,9 @@
             self.faults.crash()
         if self.faults.freeze:
             self._clock.wait(self._never, _FREEZE)
+        if self.faults.refuse_after_running:
+            start_response("503 Service Unavailable", _JSON)
+            return [b"{}"]
         request_id = environ.get("HTTP_X_REQUEST_ID", "")
         headers = [*_JSON, ("x-request-id", request_id), *self.faults.headers()]
         start_response("200 OK", headers)
