--- a/benchmarks/control_plane.py
+++ b/benchmarks/control_plane.py
@@ -39,7 +39,9 @@
 HEADER_BYTES_PER_CALL = 198
 # Open watches take a thread each.
 STORE_THREADS = 64
+# The records of hosts that joined are passed on for some time.
 SETTLE_SECONDS = 15
+SETTLE_SECONDS_PER_HOST = 1.5
 EDITS = 5
 EDIT_GAP_SECONDS = 2.0
 IN_FORCE_SECONDS = 20
@@ -235,7 +237,7 @@
         for index in range(size):
             bench.start(index)
         bench.wait_until_joined()
-        time.sleep(SETTLE_SECONDS)
+        time.sleep(SETTLE_SECONDS + SETTLE_SECONDS_PER_HOST * size)
         before = [bench.read(port) for port in bench.process_by_port]
         store_before, cpu_before = bench.store_calls(), bench.cpu_seconds()
         time.sleep(window)
@@ -270,6 +272,40 @@
         bench.close()
 
 
+def measure_losses(signal_number, size=7, count=5):
+    """Return the times until all others noticed that a host was killed or frozen."""
+    source = random.Random(SEED)
+    bench = Bench()
+    seconds = []
+    try:
+        for index in range(size):
+            bench.start(index)
+        for attempt in range(count):
+            bench.wait_until_joined()
+            time.sleep(source.uniform(1, 3))
+            port = source.choice(sorted(bench.process_by_port))
+            process = bench.process_by_port.pop(port)
+            os.kill(process.pid, signal_number)
+            started = time.monotonic()
+            while any(bench.read(p)["members"] == size for p in bench.process_by_port):
+                time.sleep(0.02)
+            seconds.append(time.monotonic() - started)
+            process.kill()
+            process.wait()
+            process.stdout.close()
+            bench.start(size + attempt)
+    finally:
+        bench.close()
+    return seconds
+
+
+def print_losses():
+    for name, number in (("killed", signal.SIGKILL), ("frozen", signal.SIGSTOP)):
+        seconds = measure_losses(number)
+        times = ", ".join(f"{value:.2f}" for value in seconds)
+        print(f"7 hosts, one {name}: noticed by all others after {times} s")
+
+
 def print_rows(rows, base):
     print(
         f"One host without peers: {base[0]:.2f} % of a core, {base[1]:.1f} MB;"
@@ -310,7 +346,11 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--sizes", default="3,7,20,60")
     parser.add_argument("--window", type=float, default=20.0, help="in seconds")
+    parser.add_argument("--losses", action="store_true", help="only kill and freeze")
     arguments = parser.parse_args()
+    if arguments.losses:
+        print_losses()
+        return
     print(f"seed {SEED}, window {arguments.window:g} s, {os.cpu_count()} cores\n")
     base = measure_base(arguments.window)
     rows = []
--- a/features/lease.feature
+++ b/features/lease.feature
@@ -24,3 +24,8 @@
 
   Scenario: The example program embeds the parts without the daemon
     Then the example "embed_coordination.py" ends with "second holds the lease"
+
+  Scenario: A process that is no candidate any more gives the lease back
+    Given a lease that one process holds
+    When the holder runs on without being a candidate
+    Then another process takes the lease and may act at once
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -3,6 +3,7 @@
 import os
 import subprocess
 import sys
+import threading
 
 import behave
 import fake_network
@@ -301,3 +302,21 @@
     )
     assert done.returncode == 0, done.stderr
     assert done.stdout.splitlines()[-1].startswith(text), done.stdout
+
+
+@behave.when("the holder runs on without being a candidate")
+def run_without_candidacy(context):
+    stop = threading.Event()
+
+    def is_candidate():
+        stop.set()
+        return False
+
+    context.first.run(stop, is_candidate)
+
+
+@behave.then("another process takes the lease and may act at once")
+def check_taken(context):
+    assert not context.first.is_held()
+    assert context.second.step()
+    assert context.second.is_held()
--- a/src/peridothitch/coordination/lease.py
+++ b/src/peridothitch/coordination/lease.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from peridothitch import errors
-from peridothitch.ports import store
+from peridothitch.ports import leadership, store
 
 __all__ = ["FencedLease", "LeaseTerms", "Permit"]
 
@@ -76,7 +76,11 @@
     released: bool = False
 
 
-class FencedLease:
+def _always():
+    return True
+
+
+class FencedLease(leadership.Leadership):
     """Part of one process in a lease that at most one holds.
 
     Parameters
@@ -146,15 +150,23 @@
         self._forget()
         return self._acquire()
 
-    def run(self, stop):
-        """Acquire and renew until the event `stop` is set, then give it back."""
+    def run(self, stop, is_candidate=_always):
+        """Acquire and renew until the event `stop` is set, then give it back.
+
+        Parameters
+        ----------
+        stop : threading.Event
+        is_candidate : callable
+            Returns whether this process should hold the lease; few should, since each
+            candidate calls the store.
+        """
         while not self._clock.wait(stop, self._terms.ttl / _RENEWALS_PER_TTL):
-            try:
-                self.step()
-            except errors.StoreError as error:
-                _log.debug("lease {}: {}", self._terms.name, error)
+            self._try(self.step if is_candidate() else self.release)
+        self._try(self.release)
+
+    def _try(self, change):
         try:
-            self.release()
+            change()
         except errors.StoreError as error:
             _log.debug("lease {}: {}", self._terms.name, error)
 
--- a/src/peridothitch/coordination/membership.py
+++ b/src/peridothitch/coordination/membership.py
@@ -367,6 +367,9 @@
                 self._deadline_by_suspect.pop(fact.key, None)
             is_known = fact.key in self._peer_by_id
             count = len(self._peer_by_id)
+        if state is not records.State.ALIVE:
+            # All others start to wait for a refutation at the same time.
+            self._gossip.urgent.set()
         self._metrics.set("members", count)
         if was_known != is_known:
             _log.info("member {} is {}", fact.key, state.name.lower())
--- a/src/peridothitch/coordination/relays.py
+++ b/src/peridothitch/coordination/relays.py
@@ -5,14 +5,18 @@
 large the fleet is. The order is a hint: a host whose parent has nothing asks others.
 """
 
+import functools
+
 import xxhash
 
 __all__ = ["ancestors", "is_relay", "position", "relays"]
 
 _RELAYS_PER_DATA_CENTRE = 2
 _CHILDREN_PER_HOST = 4
+_KEPT_POSITIONS = 4096
 
 
+@functools.lru_cache(maxsize=_KEPT_POSITIONS)
 def position(host_id):
     """Return a host's place in the order of all hosts, a 64-bit number."""
     return xxhash.xxh64_intdigest(host_id.encode())
