Check settings all at once, answer faulty callers with codes, leave nothing behind

Callers: waitress answered unreadable requests with plain text, let a request trickle in for ever and kept a thread for a caller that stopped reading. CallerChannel bounds both and answers with problem details; it lingers after an early error, since closing with unread input resets the connection and loses the answer. A generated-input property found deadlines with foreign or endless digits, bodies nested deeply and wrong types in messages ending as internal errors; they are 4xx now. Paths reach upstreams as bytes were meant.

The property passed first while the handler lacked an import: hardly any generated body was valid. It now draws valid chats too and failed on that handler. Its shrinking took 6 minutes on a slow answer, so it only generates.

--- a/benchmarks/control_plane.py
+++ b/benchmarks/control_plane.py
@@ -24,7 +24,7 @@
     document_file,
     memory_store,
     system_clock,
-    wsgi_front,
+    wsgi_server,
 )
 from peridothitch.coordination import documents
 from peridothitch.gateway import embedded
@@ -73,8 +73,8 @@
         clock = system_clock.SystemClock()
         self.memory = memory_store.MemoryStore(clock)
         self.servers = [
-            wsgi_front.WsgiServer(store.StoreService(self.memory), ANY_PORT),
-            wsgi_front.WsgiServer(
+            wsgi_server.WsgiServer(store.StoreService(self.memory), ANY_PORT),
+            wsgi_server.WsgiServer(
                 hosts.HostListService(hosts.StaticHostList()), ANY_PORT
             ),
         ]
--- /dev/null
+++ b/src/peridothitch/adapters/front_channel.py
@@ -0,0 +1,140 @@
+"""Callers' connections: bounds on their time, and errors as problem details."""
+
+import socket
+import time
+
+import waitress.channel
+import waitress.task
+import waitress.utilities
+
+from peridothitch import errors
+from peridothitch.adapters import problems
+
+__all__ = ["CallerChannel"]
+
+_LINGER_SECONDS = 2.0
+_LINGER_BYTES_PER_READ = 1 << 16
+
+
+class _RequestTimeout(waitress.utilities.BadRequest):
+    code = 408
+    reason = "Request Timeout"
+
+
+_CODE_BY_ERROR = {
+    waitress.utilities.RequestEntityTooLarge: errors.Code.BODY_TOO_LARGE,
+    waitress.utilities.RequestHeaderFieldsTooLarge: errors.Code.HEADER_TOO_LARGE,
+    waitress.utilities.ServerNotImplemented: errors.Code.ENCODING_UNSUPPORTED,
+    waitress.utilities.InternalServerError: errors.Code.INTERNAL,
+    _RequestTimeout: errors.Code.REQUEST_TIMEOUT,
+}
+
+
+def _to_coded(error):
+    code = _CODE_BY_ERROR.get(type(error), errors.Code.MALFORMED_REQUEST)
+    if code is errors.Code.INTERNAL:
+        return errors.RequestError(code, "the answer failed", errors.Ran.UNKNOWN)
+    return errors.RequestError(code, str(error.body))
+
+
+class _ProblemTask(waitress.task.ErrorTask):
+    """Answers a request that could not be read."""
+
+    def execute(self):
+        coded = _to_coded(self.request.error)
+        self.channel.server.count_problem(coded)
+        reply = problems.to_reply(coded)
+        body = b"".join(reply.chunks)
+        self.status = problems.status_line(reply.status)
+        self.response_headers.extend(reply.header_by_name.items())
+        self.set_close_on_finish()
+        self.content_length = len(body)
+        # Closing with unread input would reset the connection and lose the answer.
+        self.channel.linger()
+        self.write(body)
+
+
+class CallerChannel(waitress.channel.HTTPChannel):
+    """Connection of one caller; it never stays open without progress.
+
+    The server that makes it has the attributes `request_timeout_seconds`, the longest
+    time that a request may take to arrive, `write_timeout_seconds`, the longest time
+    without progress of a caller that should read, and `count_problem`.
+    """
+
+    error_task_class = _ProblemTask
+
+    _request_began = None
+    _lingers = False
+    _linger_end = None
+
+    def linger(self):
+        """Read and drop input for a while before the connection is closed."""
+        self._lingers = True
+
+    def received(self, data):
+        """Take input of the caller."""
+        if self.request is None:
+            self._request_began = time.monotonic()
+        return super().received(data)
+
+    def readable(self):
+        """Return whether input is taken; called at least once a second."""
+        if self._linger_end is not None:
+            return self._linger_on()
+        self._check_request_timeout()
+        self._check_write_timeout()
+        return super().readable()
+
+    def writable(self):
+        """Return whether there is output or the connection is to be closed."""
+        return self._linger_end is None and super().writable()
+
+    def handle_read(self):
+        """Read input."""
+        if self._linger_end is None:
+            super().handle_read()
+            return
+        try:
+            self.recv(_LINGER_BYTES_PER_READ)
+        except OSError:
+            super().handle_close()
+
+    def handle_close(self):
+        """Close the connection, or begin to linger."""
+        if self._linger_end is not None or not self._begin_linger():
+            super().handle_close()
+
+    def _begin_linger(self):
+        if not self._lingers or not self.connected:
+            return False
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            return False
+        self._linger_end = time.monotonic() + _LINGER_SECONDS
+        return True
+
+    def _linger_on(self):
+        if time.monotonic() < self._linger_end:
+            return True
+        super().handle_close()
+        return False
+
+    def _check_request_timeout(self):
+        limit = self.server.request_timeout_seconds
+        if self.request is None or time.monotonic() - self._request_began < limit:
+            return
+        with self.requests_lock:
+            late = self.request
+            self.request = None
+            late.error = _RequestTimeout(f"the request took longer than {limit} s")
+            late.completed = True
+            self.requests.append(late)
+            if len(self.requests) == 1:
+                self.server.add_task(self)
+
+    def _check_write_timeout(self):
+        idle = time.time() - self.last_activity
+        if self.total_outbufs_len and idle > self.server.write_timeout_seconds:
+            super().handle_close()
--- a/src/peridothitch/adapters/problems.py
+++ b/src/peridothitch/adapters/problems.py
@@ -1,5 +1,7 @@
 """Turns coded errors into problem details (RFC 9457)."""
 
+import datetime
+import http.client
 import math
 
 import msgspec
@@ -7,9 +9,24 @@
 from peridothitch import errors
 from peridothitch.ports import messages
 
-__all__ = ["to_event", "to_reply"]
+__all__ = ["status_line", "to_event", "to_reply"]
 
 _CONTENT_TYPE = "application/problem+json"
+_SECOND = datetime.timedelta(seconds=1)
+_RETRY_AFTER_BY_CODE = {
+    errors.Code.REQUEST_IN_PROGRESS: _SECOND,
+    errors.Code.OVERLOADED: _SECOND,
+    errors.Code.DRAINING: _SECOND,
+    errors.Code.NOT_READY: _SECOND,
+    errors.Code.NO_UPSTREAM: 2 * _SECOND,
+    errors.Code.STORE_UNAVAILABLE: 2 * _SECOND,
+    errors.Code.STORE_UNCLEAR: 2 * _SECOND,
+}
+
+
+def status_line(status):
+    """Return an HTTP status with its reason, ``"404 Not Found"``."""
+    return f"{status} {http.client.responses.get(status, 'Unknown')}"
 
 
 def _to_fields(error):
@@ -22,6 +39,12 @@
         "code": int(error.code),
         "name": error.code.name.lower(),
         "ran": ran.value,
+        # Clients of the OpenAI-compatible surface read the message from here.
+        "error": {
+            "message": error.detail,
+            "type": error.code.name.lower(),
+            "code": int(error.code),
+        },
     }
 
 
@@ -29,6 +52,8 @@
     """Return the reply for a `peridothitch.errors.CodedError`."""
     header_by_name = {"content-type": _CONTENT_TYPE}
     retry_after = getattr(error, "retry_after", None)
+    if retry_after is None:
+        retry_after = _RETRY_AFTER_BY_CODE.get(error.code)
     if retry_after is not None:
         seconds = max(1, math.ceil(retry_after.total_seconds()))
         header_by_name["retry-after"] = str(seconds)
--- a/src/peridothitch/adapters/traces.py
+++ b/src/peridothitch/adapters/traces.py
@@ -8,11 +8,21 @@
 from opentelemetry.sdk.trace import export
 from opentelemetry.trace.propagation import tracecontext
 
-__all__ = ["Tracer"]
+__all__ = ["Tracer", "make_exporter"]
 
 _PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
 
 
+def make_exporter(endpoint):
+    """Return an exporter of spans over OTLP, None when `endpoint` is None."""
+    if endpoint is None:
+        return None
+    # Imported only where it is used, to keep it out of each start.
+    from opentelemetry.exporter.otlp.proto.http import trace_exporter  # noqa: PLC0415
+
+    return trace_exporter.OTLPSpanExporter(endpoint=endpoint)
+
+
 class Tracer:
     """Starts spans.
 
--- a/src/peridothitch/adapters/wsgi_front.py
+++ b/src/peridothitch/adapters/wsgi_front.py
@@ -1,93 +1,18 @@
 """Serves callers, probes and scrapers over HTTP with waitress."""
 
-import http.client
 import json
-import threading
-
-import waitress.server
+import re
+import urllib.parse
 
 from peridothitch import errors
 from peridothitch.adapters import problems
 from peridothitch.ports import messages
 
-__all__ = ["WsgiFront", "WsgiServer"]
-
-_BACKLOG = 1024
-_CHANNEL_TIMEOUT_SECONDS = 120
-_JOIN_TIMEOUT_SECONDS = 2
-
-
-class WsgiServer:
-    """A waitress server that runs in a thread of its own.
-
-    Parameters
-    ----------
-    application : callable
-        The WSGI application.
-    address : str
-        IP number and port; port 0 takes a free one.
-    threads : int
-        Requests served at the same time.
-    max_body_bytes : int
-        Largest body accepted.
-    """
+__all__ = ["WsgiFront"]
 
-    def __init__(self, application, address, threads=256, max_body_bytes=8 << 20):
-        host, _, port = address.rpartition(":")
-        self._closing = False
-        try:
-            self._server = waitress.server.create_server(
-                application,
-                host=host,
-                port=int(port),
-                threads=threads,
-                connection_limit=4 * threads,
-                backlog=_BACKLOG,
-                channel_timeout=_CHANNEL_TIMEOUT_SECONDS,
-                channel_request_lookahead=1,
-                max_request_body_size=max_body_bytes,
-                asyncore_use_poll=True,
-                ident=None,
-                clear_untrusted_proxy_headers=True,
-            )
-        except OSError as error:
-            raise errors.CodedError(
-                errors.Code.ADDRESS_IN_USE, f"{address}: {error}"
-            ) from None
-        self._thread = threading.Thread(
-            target=self._run, name=f"front-{self.port}", daemon=True
-        )
-
-    @property
-    def port(self):
-        """Port that the server listens on."""
-        return self._server.effective_port
-
-    def start(self):
-        """Serve in a thread."""
-        self._thread.start()
-
-    def _run(self):
-        try:
-            self._server.run()
-        except OSError:
-            if not self._closing:
-                raise
-
-    def close(self):
-        """Close the listening socket and all connections."""
-        self._closing = True
-        self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=1)
-        # The loop's own thread closes its sockets; closed elsewhere they would keep
-        # it in poll until its timeout.
-        self._server.trigger.pull_trigger(self._close_sockets)
-        self._thread.join(_JOIN_TIMEOUT_SECONDS)
-
-    def _close_sockets(self):
-        for dispatcher in list(self._server._map.values()):
-            if dispatcher is not self._server:
-                dispatcher.close()
-        self._server.close()
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+_PATH_SAFE = "/-._~!$&'()*+,;=:@"
+_QUERY_SAFE = _PATH_SAFE + "?%"
 
 
 class WsgiFront:
@@ -120,13 +45,20 @@
             reply = page(environ)
         else:
             reply = self._answer(environ)
-        status = f"{reply.status} {http.client.responses.get(reply.status, 'Unknown')}"
-        start_response(status, list(reply.header_by_name.items()))
+        headers = list(reply.header_by_name.items())
+        start_response(problems.status_line(reply.status), headers)
         return reply.chunks
 
+    def count_problem(self, error):
+        """Count a request that was refused before it reached the handler."""
+        self._metrics.count("requests", code=int(error.code))
+
     def _answer(self, environ):
         try:
             return self._handler.handle(_to_request(environ))
+        except errors.RequestError as error:
+            self.count_problem(error)
+            return problems.to_reply(error)
         except Exception as error:
             self._metrics.count("internal_errors")
             coded = errors.RequestError(
@@ -164,6 +96,19 @@
 
 
 def _to_request(environ):
+    path = environ["PATH_INFO"].encode("latin-1")
+    query = environ.get("QUERY_STRING", "").encode("latin-1")
+    return messages.Request(
+        method=environ["REQUEST_METHOD"],
+        path=urllib.parse.quote(path, safe=_PATH_SAFE),
+        query=urllib.parse.quote(query, safe=_QUERY_SAFE),
+        header_by_name=_to_headers(environ),
+        body=environ["wsgi.input"].read(),
+        caller_gone=environ.get("waitress.client_disconnected", _never_gone),
+    )
+
+
+def _to_headers(environ):
     header_by_name = {
         name[5:].replace("_", "-").lower(): value
         for name, value in environ.items()
@@ -171,11 +116,10 @@
     }
     if environ.get("CONTENT_TYPE"):
         header_by_name["content-type"] = environ["CONTENT_TYPE"]
-    return messages.Request(
-        method=environ["REQUEST_METHOD"],
-        path=environ["PATH_INFO"],
-        query=environ.get("QUERY_STRING", ""),
-        header_by_name=header_by_name,
-        body=environ["wsgi.input"].read(),
-        caller_gone=environ.get("waitress.client_disconnected", _never_gone),
-    )
+    for name, value in header_by_name.items():
+        if _CONTROL.search(value):
+            raise errors.RequestError(
+                errors.Code.MALFORMED_REQUEST,
+                f"the header {name} holds a control character",
+            )
+    return header_by_name
--- /dev/null
+++ b/src/peridothitch/adapters/wsgi_server.py
@@ -0,0 +1,150 @@
+"""Runs a WSGI application with waitress in a thread of its own."""
+
+import dataclasses
+import datetime
+import socket
+import threading
+
+import waitress.server
+
+from peridothitch import errors
+from peridothitch.adapters import front_channel
+
+__all__ = ["ServerLimits", "WsgiServer"]
+
+_BACKLOG = 1024
+_CHANNEL_TIMEOUT_SECONDS = 120
+_CLEANUP_INTERVAL_SECONDS = 10
+_JOIN_TIMEOUT_SECONDS = 2
+_KEEPALIVE_IDLE_SECONDS = 15
+_UNACKNOWLEDGED_TIMEOUT_MS = 30_000
+_OUTPUT_HIGH_WATERMARK_BYTES = 1 << 20
+_SOCKET_OPTIONS = [
+    (socket.SOL_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.SOL_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS),
+    (socket.SOL_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_TIMEOUT_MS),
+]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServerLimits:
+    """Bounds on what one caller may take.
+
+    Attributes
+    ----------
+    body_bytes : int
+        Largest body.
+    header_bytes : int
+        Largest request head.
+    request_timeout : datetime.timedelta
+        Longest time until a request has arrived whole.
+    write_timeout : datetime.timedelta
+        Longest time without progress of a caller that should read.
+    """
+
+    body_bytes: int = 8 << 20
+    header_bytes: int = 64 << 10
+    request_timeout: datetime.timedelta = datetime.timedelta(seconds=30)
+    write_timeout: datetime.timedelta = datetime.timedelta(seconds=30)
+
+
+def _ignore(error):
+    pass
+
+
+class WsgiServer:
+    """A waitress server that runs in a thread of its own.
+
+    Parameters
+    ----------
+    application : callable
+        The WSGI application.
+    address : str
+        IP number and port; port 0 takes a free one.
+    threads : int
+        Requests served at the same time.
+    limits : ServerLimits
+    count_problem : callable
+        Called with the coded error of each request that could not be read.
+    """
+
+    def __init__(
+        self, application, address, threads=256, limits=None, count_problem=_ignore
+    ):
+        host, _, port = address.rpartition(":")
+        limits = limits or ServerLimits()
+        self._closing = False
+        try:
+            self._server = waitress.server.create_server(
+                application,
+                host=host.strip("[]"),
+                port=int(port),
+                threads=threads,
+                connection_limit=4 * threads,
+                backlog=_BACKLOG,
+                channel_timeout=_CHANNEL_TIMEOUT_SECONDS,
+                cleanup_interval=_CLEANUP_INTERVAL_SECONDS,
+                channel_request_lookahead=1,
+                max_request_body_size=limits.body_bytes + 1,
+                max_request_header_size=limits.header_bytes,
+                outbuf_high_watermark=_OUTPUT_HIGH_WATERMARK_BYTES,
+                asyncore_use_poll=True,
+                ident=None,
+                clear_untrusted_proxy_headers=True,
+            )
+        except OSError as error:
+            raise errors.CodedError(
+                errors.Code.ADDRESS_IN_USE, f"{address}: {error}"
+            ) from None
+        server = self._server
+        server.adj.socket_options = _SOCKET_OPTIONS
+        server.channel_class = front_channel.CallerChannel
+        server.request_timeout_seconds = limits.request_timeout.total_seconds()
+        server.write_timeout_seconds = limits.write_timeout.total_seconds()
+        server.count_problem = count_problem
+        self._thread = threading.Thread(
+            target=self._run, name=f"front-{self.port}", daemon=True
+        )
+
+    @property
+    def port(self):
+        """Port that the server listens on."""
+        return self._server.effective_port
+
+    @property
+    def connection_count(self):
+        """Connections that are open."""
+        return len(self._server.active_channels)
+
+    @property
+    def busy_count(self):
+        """Requests that are being answered or wait for a thread."""
+        dispatcher = self._server.task_dispatcher
+        return dispatcher.active_count + len(dispatcher.queue)
+
+    def start(self):
+        """Serve in a thread."""
+        self._thread.start()
+
+    def _run(self):
+        try:
+            self._server.run()
+        except OSError:
+            if not self._closing:
+                raise
+
+    def close(self):
+        """Close the listening socket and all connections."""
+        self._closing = True
+        self._server.task_dispatcher.shutdown(cancel_pending=True, timeout=1)
+        # The loop's own thread closes its sockets; closed elsewhere they would keep
+        # it in poll until its timeout.
+        self._server.trigger.pull_trigger(self._close_sockets)
+        self._thread.join(_JOIN_TIMEOUT_SECONDS)
+
+    def _close_sockets(self):
+        for dispatcher in list(self._server._map.values()):
+            if dispatcher is not self._server:
+                dispatcher.close()
+        self._server.close()
--- a/src/peridothitch/cli/bill.py
+++ b/src/peridothitch/cli/bill.py
@@ -11,6 +11,7 @@
     http_transport,
     system_clock,
 )
+from peridothitch.cli import output, settings
 from peridothitch.coordination import documents, holdings, slices, usage
 from peridothitch.policy import bill as bills
 from peridothitch.policy import spending
@@ -21,24 +22,29 @@
 _OBSERVER = "bill"
 
 
-@click.command()
-@click.option("--store", required=True, help="IP number and port of the store.")
-@click.option("--host-list", default="", help="IP number and port of the host list.")
-@click.option("--day", default="", help="Day in UTC as YYYY-MM-DD; today by default.")
+@click.command(cls=settings.SettingsCommand)
 @click.option(
-    "--output",
-    type=click.Choice(["text", "json"]),
-    default="text",
-    show_default=True,
-    help="Form of the output.",
+    "--store",
+    required=True,
+    type=settings.ADDRESS,
+    help="IP number and port of the key-value service.",
 )
+@click.option(
+    "--host-list",
+    type=settings.ADDRESS,
+    default=None,
+    help="IP number and port of the platform's host list.  [default: none, no "
+    "price of hosts]",
+)
+@click.option("--day", default="", help="Day in UTC as YYYY-MM-DD.  [default: today]")
+@output.option
 def bill(store, host_list, day, output):
     """Print usage, forecasts against the limits and the price of the hosts."""
     now = system_clock.SystemClock().now()
     found = _make_bill(
-        etcd_store.EtcdStore(store), host_list, _parse_day(day, now), now
+        etcd_store.EtcdStore(store), host_list or "", _parse_day(day, now), now
     )
-    if output == "json":
+    if output.as_json:
         click.echo(json.dumps(_to_plain(found), indent=2))
         return
     _print_text(found)
--- a/src/peridothitch/cli/main.py
+++ b/src/peridothitch/cli/main.py
@@ -7,11 +7,12 @@
 
 import peridothitch
 from peridothitch import errors
+from peridothitch.cli import exits, output
 
 __all__ = ["cli", "main"]
 
-EXIT_FAILURE = 1
-_COMMANDS = ("bill", "config", "run", "serve", "standin", "status")
+_COMMANDS = ("bill", "completion", "config", "run", "serve", "standin", "status")
+_PROGRAM = "peridothitch"
 
 
 class _LazyGroup(click.Group):
@@ -28,15 +29,38 @@
 
 
 @click.group(cls=_LazyGroup, context_settings={"auto_envvar_prefix": "PERIDOTHITCH"})
-@click.version_option(peridothitch.__version__, prog_name="peridothitch")
+@click.version_option(peridothitch.__version__, prog_name=_PROGRAM)
 def cli():
-    """Serve model and application traffic on reclaimable hosts."""
+    """Serve model and application traffic on reclaimable hosts.
 
+    Every setting is a flag and an environment variable, which each command's help
+    names; the flag goes first.
+    """
 
-def main():
-    """Run the command line and exit."""
+
+def main(arguments=None):
+    """Run the command line and exit.
+
+    Parameters
+    ----------
+    arguments : sequence of str or None
+        The words after the program's name; those of the process by default.
+    """
+    sys.exit(_run(arguments))
+
+
+def _run(arguments):
+    chosen = output.Output()
     try:
-        cli(prog_name="peridothitch")
+        return cli.main(arguments, _PROGRAM, standalone_mode=False, obj=chosen) or 0
     except errors.CodedError as error:
-        click.echo(f"error {error}", err=True)
-        sys.exit(EXIT_FAILURE)
+        chosen.print_error(error)
+        return exits.exit_code(error)
+    except click.exceptions.NoArgsIsHelpError as error:
+        error.show()
+        return exits.ExitCode.INVALID_SETTINGS
+    except click.ClickException as error:
+        chosen.print_error(errors.SettingsError([error.format_message()]))
+        return exits.ExitCode.INVALID_SETTINGS
+    except click.Abort:
+        return exits.ExitCode.FAILURE
--- a/src/peridothitch/cli/processes.py
+++ b/src/peridothitch/cli/processes.py
@@ -2,7 +2,7 @@
 
 import signal
 
-from peridothitch.adapters import wsgi_front
+from peridothitch.adapters import wsgi_server
 
 __all__ = ["block_stop_signals", "serve_application", "wait_for_stop"]
 
@@ -35,7 +35,7 @@
         Called with the port once the server listens.
     """
     block_stop_signals()
-    server = wsgi_front.WsgiServer(application, address)
+    server = wsgi_server.WsgiServer(application, address)
     server.start()
     announce(server.port)
     wait_for_stop()
--- a/src/peridothitch/cli/run.py
+++ b/src/peridothitch/cli/run.py
@@ -4,7 +4,7 @@
 
 import click
 
-from peridothitch.cli import processes
+from peridothitch.cli import processes, settings
 from peridothitch.gateway import embedded
 
 __all__ = ["run"]
@@ -18,9 +18,10 @@
 """
 
 
-@click.command()
+@click.command(cls=settings.SettingsCommand)
 @click.option(
     "--listen",
+    type=settings.ADDRESS,
     default="127.0.0.1:8080",
     show_default=True,
     help="IP number and port for callers; port 0 takes a free one.",
@@ -28,7 +29,7 @@
 @click.option(
     "--document",
     type=click.Path(exists=True, dir_okay=False),
-    help="YAML document to start with; the built-in example by default.",
+    help="YAML document to start with.  [default: the built-in example]",
 )
 def run(listen, document):
     """Run store, upstreams and one entry host in one process."""
--- a/src/peridothitch/cli/serve.py
+++ b/src/peridothitch/cli/serve.py
@@ -1,70 +1,150 @@
 """``peridothitch serve``: one entry host."""
 
-import datetime
-
 import click
 
 from peridothitch import errors
 from peridothitch.adapters import (
     etcd_store,
     http_transport,
+    logs,
     system_clock,
     thrift_peers,
+    traces,
+    wsgi_server,
 )
-from peridothitch.cli import processes
+from peridothitch.cli import processes, settings
 from peridothitch.gateway import host, peer_links
 
 __all__ = ["serve"]
 
+_file = click.Path(exists=True, dir_okay=False)
+
 
-@click.command()
-@click.option("--host-id", required=True, help="Unique name of this entry host.")
-@click.option("--data-centre", required=True, help="Where this entry host is.")
+@click.command(cls=settings.SettingsCommand)
+@click.option(
+    "--host-id",
+    required=True,
+    type=settings.NAME,
+    help="Unique name of this entry host.",
+)
+@click.option(
+    "--data-centre",
+    required=True,
+    type=settings.NAME,
+    help="Data centre that this entry host is in.",
+)
 @click.option(
     "--listen",
+    type=settings.ADDRESS,
     default="127.0.0.1:8080",
     show_default=True,
     help="IP number and port for callers; port 0 takes a free one.",
 )
 @click.option(
     "--peer-listen",
-    default="",
-    help="IP number and port for other entry hosts; empty for a fleet of one host.",
+    type=settings.ADDRESS,
+    default=None,
+    help="IP number and port for other entry hosts.  [default: none, a fleet of one]",
 )
 @click.option(
     "--seed",
     "seeds",
+    type=settings.ADDRESS,
     multiple=True,
-    help="Peer address of another entry host, to join while the store is down.",
+    help="Peer address of another entry host, to join while the store is down; may "
+    "be repeated.",
+)
+@click.option(
+    "--peer-certificate",
+    type=_file,
+    default=None,
+    help="PEM file for mutual TLS between entry hosts.  [default: none, no TLS]",
+)
+@click.option(
+    "--peer-key",
+    type=_file,
+    default=None,
+    help="PEM file of the certificate's private key.  [default: none]",
+)
+@click.option(
+    "--peer-authority",
+    type=_file,
+    default=None,
+    help="PEM file of the peers' certificate authority.  [default: none]",
+)
+@click.option(
+    "--store",
+    required=True,
+    type=settings.ADDRESS,
+    help="IP number and port of the key-value service.",
+)
+@click.option(
+    "--host-list",
+    required=True,
+    type=settings.ADDRESS,
+    help="IP number and port of the platform's host list.",
 )
-@click.option("--peer-certificate", default="", help="PEM file for mutual TLS.")
-@click.option("--peer-key", default="", help="PEM file of its private key.")
-@click.option("--peer-authority", default="", help="PEM file of the peers' authority.")
-@click.option("--store", required=True, help="IP number and port of the store.")
-@click.option("--host-list", required=True, help="IP number and port of the list.")
 @click.option(
     "--threads",
+    type=click.IntRange(1, 4096),
     default=256,
     show_default=True,
     help="Requests served at the same time.",
 )
 @click.option(
-    "--max-body-bytes",
-    default=8 << 20,
+    "--max-body",
+    type=settings.SIZE,
+    default="8MiB",
     show_default=True,
-    help="Largest body accepted, in bytes.",
+    help="Largest body accepted from a caller.",
 )
 @click.option(
-    "--unready-seconds",
-    default=2.0,
+    "--max-header",
+    type=settings.SIZE,
+    default="64KiB",
     show_default=True,
-    help="Time at shutdown for the balancer to notice, in seconds.",
+    help="Largest request head accepted from a caller.",
 )
 @click.option(
-    "--drain-seconds",
-    default=25.0,
+    "--request-timeout",
+    type=settings.DURATION,
+    default="30s",
     show_default=True,
-    help="Longest wait for requests in progress at shutdown, in seconds.",
+    help="Longest time until a caller's request has arrived whole.",
+)
+@click.option(
+    "--write-timeout",
+    type=settings.DURATION,
+    default="30s",
+    show_default=True,
+    help="Longest time without progress of a caller that should read.",
+)
+@click.option(
+    "--unready-time",
+    type=settings.DURATION,
+    default="2s",
+    show_default=True,
+    help="Time at shutdown for the balancer to notice.",
+)
+@click.option(
+    "--drain-timeout",
+    type=settings.DURATION,
+    default="25s",
+    show_default=True,
+    help="Longest wait for requests in progress at shutdown.",
+)
+@click.option(
+    "--otlp-endpoint",
+    metavar="URL",
+    default=None,
+    help="Where spans go, such as http://127.0.0.1:4318/v1/traces.  [default: nowhere]",
+)
+@click.option(
+    "--log-format",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    show_default=True,
+    help="Form of log lines on standard error.",
 )
 def serve(
     host_id,
@@ -78,31 +158,43 @@
     store,
     host_list,
     threads,
-    max_body_bytes,
-    unready_seconds,
-    drain_seconds,
+    max_body,
+    max_header,
+    request_timeout,
+    write_timeout,
+    unready_time,
+    drain_timeout,
+    otlp_endpoint,
+    log_format,
 ):
     """Serve callers as one entry host until SIGTERM."""
-    settings = host.HostSettings(
+    host_settings = host.HostSettings(
         host_id=host_id,
         data_centre=data_centre,
         listen=listen,
         threads=threads,
-        max_body_bytes=max_body_bytes,
-        unready_time=datetime.timedelta(seconds=unready_seconds),
-        drain_timeout=datetime.timedelta(seconds=drain_seconds),
+        limits=wsgi_server.ServerLimits(
+            body_bytes=max_body,
+            header_bytes=max_header,
+            request_timeout=request_timeout,
+            write_timeout=write_timeout,
+        ),
+        unready_time=unready_time,
+        drain_timeout=drain_timeout,
         fleet=peer_links.FleetSettings(
-            listen=peer_listen,
+            listen=peer_listen or "",
             seeds=seeds,
             tls=_tls_files(peer_certificate, peer_key, peer_authority),
         ),
     )
+    logs.install(log_format)
     processes.block_stop_signals()
     entry_host = host.EntryHost(
-        settings,
+        host_settings,
         etcd_store.EtcdStore(store),
         http_transport.HttpHostList(host_list),
         system_clock.SystemClock(),
+        traces.make_exporter(otlp_endpoint),
     )
     entry_host.start()
     click.echo(f"listening on port {entry_host.port}")
--- a/src/peridothitch/cli/standin.py
+++ b/src/peridothitch/cli/standin.py
@@ -6,7 +6,7 @@
 import click
 
 from peridothitch.adapters import memory_store, system_clock
-from peridothitch.cli import processes
+from peridothitch.cli import processes, settings
 from peridothitch.ports import upstream
 from peridothitch.standins import engine as engines
 from peridothitch.standins import faulty_store
@@ -20,6 +20,7 @@
 
 _listen = click.option(
     "--listen",
+    type=settings.ADDRESS,
     default="127.0.0.1:0",
     show_default=True,
     help="IP number and port; port 0 takes a free one.",
@@ -39,7 +40,7 @@
     """Run a stand-in process."""
 
 
-@standin.command()
+@standin.command(cls=settings.SettingsCommand)
 @_listen
 def store(listen):
     """Run a key-value service."""
@@ -48,7 +49,7 @@
     processes.serve_application(stores.StoreService(faulty), listen, _announce)
 
 
-@standin.command()
+@standin.command(cls=settings.SettingsCommand)
 @_listen
 @click.option("--name", default="engine", show_default=True, help="Replica's name.")
 @click.option("--model-version", default="v1", show_default=True, help="Version.")
@@ -77,7 +78,7 @@
     processes.serve_application(application, listen, _announce)
 
 
-@standin.command()
+@standin.command(cls=settings.SettingsCommand)
 @_listen
 @click.option("--name", default="service", show_default=True, help="Replica's name.")
 def service(listen, name):
@@ -87,7 +88,7 @@
     processes.serve_application(application, listen, _announce)
 
 
-@standin.command()
+@standin.command(cls=settings.SettingsCommand)
 @_listen
 @click.option(
     "--upstream",
--- a/src/peridothitch/errors.py
+++ b/src/peridothitch/errors.py
@@ -44,6 +44,9 @@
     METHOD_NOT_ALLOWED = 1009
     REQUEST_QUARANTINED = 1010
     UNKNOWN_REQUEST = 1011
+    REQUEST_TIMEOUT = 1012
+    HEADER_TOO_LARGE = 1013
+    ENCODING_UNSUPPORTED = 1014
     OVERLOADED = 2001
     LIMIT_REACHED = 2002
     DRAINING = 2003
@@ -101,6 +104,9 @@
     Code.METHOD_NOT_ALLOWED: (405, "The path exists for other methods."),
     Code.REQUEST_QUARANTINED: (422, "The request crashed upstreams; it is refused."),
     Code.UNKNOWN_REQUEST: (404, "No accepted request has this id."),
+    Code.REQUEST_TIMEOUT: (408, "The request did not arrive whole in time."),
+    Code.HEADER_TOO_LARGE: (431, "The request's head is larger than the limit."),
+    Code.ENCODING_UNSUPPORTED: (501, "The transfer encoding is not supported."),
     Code.OVERLOADED: (503, "The request was shed before it ran."),
     Code.LIMIT_REACHED: (429, "The customer's spending limit is reached."),
     Code.DRAINING: (503, "The entry host is shutting down."),
--- a/src/peridothitch/gateway/embedded.py
+++ b/src/peridothitch/gateway/embedded.py
@@ -6,7 +6,7 @@
     document_file,
     memory_store,
     system_clock,
-    wsgi_front,
+    wsgi_server,
 )
 from peridothitch.coordination import documents
 from peridothitch.gateway import customers, host
@@ -69,9 +69,11 @@
         The operators' document.
     listen : str
         IP number and port for callers.
+    limits : peridothitch.adapters.wsgi_server.ServerLimits or None
+        Bounds on what one caller may take.
     """
 
-    def __init__(self, text=EXAMPLE_DOCUMENT, listen=_ANY_PORT):
+    def __init__(self, text=EXAMPLE_DOCUMENT, listen=_ANY_PORT, limits=None):
         clock = system_clock.SystemClock()
         self.store = memory_store.MemoryStore(clock)
         self.host_list = hosts.StaticHostList()
@@ -92,6 +94,7 @@
             data_centre=_DATA_CENTRE,
             listen=listen,
             unready_time=datetime.timedelta(0),
+            limits=limits or wsgi_server.ServerLimits(),
         )
         self.entry_host = host.EntryHost(settings, self.store, self.host_list, clock)
 
@@ -107,7 +110,7 @@
 
     def _listen_upstreams(self, application_by_id, service_name):
         for host_id, application in application_by_id.items():
-            server = wsgi_front.WsgiServer(application, _ANY_PORT, threads=64)
+            server = wsgi_server.WsgiServer(application, _ANY_PORT, threads=64)
             self._servers.append(server)
             self.host_list.put(
                 upstream.Host(
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -7,11 +7,14 @@
 import secrets
 import threading
 
+import logbook
+
 from peridothitch.adapters import (
     http_transport,
     metrics,
     traces,
     wsgi_front,
+    wsgi_server,
 )
 from peridothitch.coordination import (
     ranking,
@@ -33,6 +36,7 @@
 
 __all__ = ["EntryHost", "HostSettings"]
 
+_log = logbook.Logger("entry-host")
 _INCARNATION_BYTES = 4
 _HANDOVER_TIMEOUT = datetime.timedelta(seconds=5)
 _REQUEST_THREADS = 64
@@ -56,10 +60,10 @@
         IP number and port for callers.
     threads : int
         Requests served at the same time.
-    max_body_bytes : int
-        Largest body accepted from a caller.
     unready_time : datetime.timedelta
         Time at shutdown that the balancer has to stop sending requests.
+    limits : peridothitch.adapters.wsgi_server.ServerLimits
+        Bounds on what one caller may take.
     drain_timeout : datetime.timedelta
         Longest wait for requests in progress at shutdown.
     fleet : peridothitch.gateway.peer_links.FleetSettings
@@ -70,8 +74,8 @@
     data_centre: str
     listen: str = "127.0.0.1:8080"
     threads: int = 256
-    max_body_bytes: int = 8 << 20
     unready_time: datetime.timedelta = datetime.timedelta(seconds=2)
+    limits: wsgi_server.ServerLimits = wsgi_server.ServerLimits()
     drain_timeout: datetime.timedelta = datetime.timedelta(seconds=25)
     fleet: peer_links.FleetSettings = peer_links.FleetSettings()
 
@@ -135,11 +139,15 @@
                 data_centre=settings.data_centre,
             )
         )
-        self._server = wsgi_front.WsgiServer(
-            wsgi_front.WsgiFront(self._handler, self.metrics, self._report_by_path()),
+        front = wsgi_front.WsgiFront(
+            self._handler, self.metrics, self._report_by_path()
+        )
+        self._server = wsgi_server.WsgiServer(
+            front,
             settings.listen,
             settings.threads,
-            settings.max_body_bytes,
+            settings.limits,
+            front.count_problem,
         )
         self._background = concurrent.futures.ThreadPoolExecutor(
             _BACKGROUND_THREADS, thread_name_prefix=f"{settings.host_id}-background"
@@ -163,6 +171,21 @@
         """Port that callers connect to."""
         return self._server.port
 
+    @property
+    def connection_count(self):
+        """Callers' connections that are open."""
+        return self._server.connection_count
+
+    @property
+    def busy_count(self):
+        """Requests that are being answered or wait for a thread."""
+        return self._server.busy_count
+
+    @property
+    def in_flight_by_host_id(self):
+        """Requests in progress at upstream hosts."""
+        return self._view.in_flight()
+
     def start(self):
         """Join the fleet, read configuration and host list once, then serve."""
         self._view.refresh()
@@ -173,6 +196,7 @@
         for run in self._loops():
             runner.start(run)
         self._server.start()
+        _log.info("serving on port {}", self.port)
 
     def _report_by_path(self):
         return {
@@ -215,6 +239,7 @@
         bool
             Whether all requests ended within the drain timeout.
         """
+        _log.info("draining")
         drained = self._drain()
         self.fleet.leave()
         self._stop.set()
@@ -225,6 +250,7 @@
         self.fleet.close()
         self._documents.close()
         self._tracer.close()
+        _log.info("stopped; all requests ended: {}", drained)
         return drained
 
 
--- a/src/peridothitch/gateway/intake.py
+++ b/src/peridothitch/gateway/intake.py
@@ -2,13 +2,14 @@
 
 import dataclasses
 import datetime
+import re
 import secrets
 
 import msgspec
 
 from peridothitch import errors
 from peridothitch.coordination import claim_records
-from peridothitch.gateway import customers, jobs
+from peridothitch.gateway import chat_bodies, customers, jobs
 from peridothitch.policy import document as documents
 from peridothitch.policy import routes
 from peridothitch.ports import messages
@@ -17,6 +18,8 @@
 
 _KEY_HEADER = "idempotency-key"
 _DEADLINE_HEADER = "x-request-timeout-ms"
+_MILLISECONDS = re.compile(r"[1-9][0-9]{0,9}")
+_EVENT_ID = re.compile(r"[0-9]{1,18}")
 _LAST_EVENT_HEADER = "last-event-id"
 _KEY_BYTES = 16
 
@@ -122,10 +125,10 @@
         timeout = route.timeout
         text = request.header_by_name.get(_DEADLINE_HEADER)
         if text is not None:
-            if not text.isdigit() or not int(text):
+            if not _MILLISECONDS.fullmatch(text):
                 raise errors.RequestError(
                     errors.Code.MALFORMED_REQUEST,
-                    f"{_DEADLINE_HEADER} is not a positive number",
+                    f"{_DEADLINE_HEADER} is not a whole number from 1 to 9999999999",
                 )
             timeout = min(timeout, datetime.timedelta(milliseconds=int(text)))
         return self._clock.monotonic() + timeout
@@ -135,7 +138,7 @@
     text = request.header_by_name.get(_LAST_EVENT_HEADER, "")
     if not text:
         return -1
-    if not text.isdigit():
+    if not _EVENT_ID.fullmatch(text):
         raise errors.RequestError(
             errors.Code.MALFORMED_REQUEST, f"{_LAST_EVENT_HEADER} is not a number"
         )
@@ -146,21 +149,7 @@
     service = document.service_by_name[route.service]
     if service.protocol is not documents.Protocol.CHAT:
         return None
-    try:
-        body = msgspec.json.decode(request.body)
-    except msgspec.DecodeError as error:
-        raise errors.RequestError(errors.Code.INVALID_BODY, str(error)) from None
-    if not isinstance(body, dict) or not isinstance(body.get("messages"), list):
-        raise errors.RequestError(
-            errors.Code.INVALID_BODY, "a chat request needs a list of messages"
-        )
-    for name in ("max_tokens", "n"):
-        value = body.get(name)
-        if value is not None and (type(value) is not int or value < 1):
-            raise errors.RequestError(
-                errors.Code.INVALID_BODY, f"{name} is not a positive number"
-            )
-    return body
+    return chat_bodies.parse_chat(request.body)
 
 
 def _bound_tokens(request, chat, route):
