Replace the record of a host that restarts within a second; test bounds of peer calls

A process that took over a host id in the same second had the same incarnation as its predecessor, so the larger address stayed in the others' lists.

--- a/features/fake_network.py
+++ b/features/fake_network.py
@@ -131,14 +131,16 @@
         self.random = random.Random(seed)
         self.data_centres = data_centres
         self.node_by_id = {}
+        self.added = 0
         self.frozen = set()
         self.steps = 0
         for _ in range(count):
             self.add()
 
-    def add(self, seeds=None):
-        index = len(self.network.transport_by_address)
-        host_id = f"entry-{index}"
+    def add(self, seeds=None, host_id=None):
+        index = self.added
+        self.added += 1
+        host_id = host_id or f"entry-{index}"
         transport = FakeTransport(self.network, f"10.0.{index // 250}.{index % 250}:1")
         peer = peers.Peer(
             host_id=host_id,
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -32,5 +32,11 @@
     When a host joins with the address of "entry-5" alone
     Then all hosts agree on the members within 10 seconds
 
+  Scenario: A host that restarts at once at another address replaces its record
+    Given a fleet of 7 hosts that know each other
+    When host "entry-3" is killed and started again in the same second, twice
+    Then all hosts agree on the members within 10 seconds
+    And all hosts know the last address of "entry-3"
+
   Scenario: Any mix of faults heals
     Then after any mix of kills, freezes, splits and losses the hosts agree again
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -21,3 +21,6 @@
 
   Scenario: A silent connection is not used for a fresh call
     Then a fresh call reaches a host whose idle connection has gone silent
+
+  Scenario: Other versions and frames past the bound are refused
+    Then a host of another version and a frame past the bound are refused, and calls go on
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -149,6 +149,29 @@
     fleet.add(seeds=(fleet.node_by_id[host_id].transport.address,))
 
 
+@behave.when('host "{host_id}" is killed and started again in the same second, twice')
+def restart_at_once(context, host_id):
+    fleet = context.fake_fleet
+    for _ in range(2):
+        fleet.kill(host_id)
+        fleet.add(host_id=host_id)
+        fleet.node_by_id[host_id].membership.tick()
+
+
+@behave.then('all hosts know the last address of "{host_id}"')
+def check_address(context, host_id):
+    fleet = context.fake_fleet
+    address = fleet.node_by_id[host_id].transport.address
+
+    def is_known():
+        return all(
+            node.membership.members()[host_id].address == address
+            for node in fleet.node_by_id.values()
+        )
+
+    fleet.run_until(is_known, 10 * SECOND)
+
+
 def apply_fault(fleet, fault):
     kind, index, seconds = fault
     live = sorted(fleet.live())
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -11,7 +11,8 @@
 import processes
 
 from peridothitch import errors
-from peridothitch.adapters import thrift_peers
+from peridothitch.adapters import thrift_peers, thrift_server
+from peridothitch.adapters.generated.peer import ttypes
 from peridothitch.gateway import embedded
 
 SECOND = datetime.timedelta(seconds=1)
@@ -161,3 +162,32 @@
     assert refusal(one, other.address, "echo").sent
     assert one.call(other.address, "echo", b"z", 5 * SECOND, fresh=True) == b"z"
     assert one.call(other.address, "echo", b"z", 5 * SECOND) == b"z"
+
+
+@behave.then(
+    "a host of another version and a frame past the bound are refused, and calls go on"
+)
+def check_bounds(context):
+    one, other = make_transport(context, "one"), make_transport(context, "other")
+    other.register("echo", lambda payload: payload)
+    too_long = b"x" * (thrift_server.MAX_FRAME_BYTES + 1)
+    try:
+        one.call(other.address, "echo", too_long, 5 * SECOND)
+    except errors.PeerError as error:
+        assert error.sent
+    else:
+        raise AssertionError("a frame past the bound was answered")
+    known = thrift_peers.INTERFACE_VERSION
+    thrift_peers.INTERFACE_VERSION = known + 1
+    try:
+        envelope = ttypes.Envelope(known, "old", "echo", b"x")
+        handler = thrift_peers._Answers({"echo": bytes}, fake_network.NullMetrics())
+        try:
+            handler.call(envelope)
+        except ttypes.Refused as refused:
+            assert str(known) in refused.detail
+        else:
+            raise AssertionError("another version was answered")
+    finally:
+        thrift_peers.INTERFACE_VERSION = known
+    assert one.call(other.address, "echo", b"y", 5 * SECOND) == b"y"
--- a/src/peridothitch/coordination/fact_table.py
+++ b/src/peridothitch/coordination/fact_table.py
@@ -78,6 +78,7 @@
         self._lifetime_by_kind = dict(lifetime_by_kind or {})
         self._urgent_kinds = frozenset(urgent_kinds)
         self._entry_by_key_by_kind = {}
+        self._digest = 0
         self._digests = [0] * BUCKET_COUNT
         self._keys_by_bucket = [set() for _ in range(BUCKET_COUNT)]
         self._rumours = {}
@@ -90,9 +91,7 @@
 
     def digest(self):
         """Return a digest of the whole table."""
-        return xxhash.xxh32_intdigest(
-            b"".join(digest.to_bytes(4, "big") for digest in self._digests)
-        )
+        return self._digest
 
     def get(self, kind, key):
         """Return a fact or None."""
@@ -220,6 +219,7 @@
     def _toggle(self, entry):
         fact = entry.fact
         bucket = _bucket(fact.kind, fact.key)
+        self._digest ^= entry.digest
         self._digests[bucket] ^= entry.digest
         self._keys_by_bucket[bucket].add((fact.kind, fact.key))
 
--- a/src/peridothitch/coordination/membership.py
+++ b/src/peridothitch/coordination/membership.py
@@ -329,16 +329,18 @@
         )
 
     def _publish_self(self, state):
-        record = records.MemberRecord(self._self.address, self._self.data_centre)
-        value = msgspec.msgpack.encode(record)
         self._gossip.publish(
-            records.make_fact(self.host_id, self._incarnation, state, value)
+            records.make_fact(self.host_id, self._incarnation, state, self._record())
         )
 
+    def _record(self):
+        record = records.MemberRecord(self._self.address, self._self.data_centre)
+        return msgspec.msgpack.encode(record)
+
     def _take_record(self, fact):
         incarnation, state = records.split_sequence(fact.sequence)
         if fact.key == self.host_id:
-            self._refute(incarnation, state)
+            self._refute(incarnation, state, fact.value)
             return
         try:
             record = gossips.decode(fact.value, records.MemberRecord)
@@ -374,10 +376,13 @@
         if was_known != is_known:
             _log.info("member {} is {}", fact.key, state.name.lower())
 
-    def _refute(self, incarnation, state):
+    def _refute(self, incarnation, state, value):
         with self._lock:
-            known = (self._incarnation, records.State.ALIVE)
-            if self._leaving or (incarnation, state) <= known:
+            if self._leaving or incarnation < self._incarnation:
+                return
+            # An earlier process with this id may have started in the same second.
+            is_own = state is records.State.ALIVE and value == self._record()
+            if incarnation == self._incarnation and is_own:
                 return
             self._incarnation = incarnation + 1
         self._metrics.count("refutations")
