--- a/features/moves.feature
+++ b/features/moves.feature
@@ -59,6 +59,12 @@
     Then no request goes to it later than 3 seconds after the first condemnation
     And the move is undone once the store is back
 
+  Scenario: A version whose evidence was lost is not proved
+    Given a fleet that moves to a good version
+    When all hosts are lost at once after most of the time
+    Then the move is undone because it was not proved
+    And the version never took more than the unproved share
+
   Scenario: A document edit ends the move under way
     Given a fleet that moves to a good version
     When the operators remove the move
--- a/features/steps/move_evidence_steps.py
+++ b/features/steps/move_evidence_steps.py
@@ -47,7 +47,7 @@
 
 
 def make_tally(quarantined=frozenset()):
-    return tally.EvidenceTally("assistant", "v1", "v2", quarantined.__contains__)
+    return tally.EvidenceTally("assistant", "v1", "v2", quarantined.__contains__, NOON)
 
 
 def count_events(generator, trials, rate):
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -307,6 +307,30 @@
     check_stop(context)
 
 
+@behave.when("all hosts are lost at once after most of the time")
+def lose_all(context):
+    fleet = context.fleet
+    fleet.run(0.78 * move_fleet.WINDOW)
+    for host_id in list(fleet.host_by_id):
+        fleet.remove_host(host_id)
+    for _ in range(7):
+        fleet.add_host()
+    run_to_verdict(fleet)
+
+
+@behave.then("the move is undone because it was not proved")
+def check_not_proved(context):
+    record = context.fleet.verdict()
+    assert record.outcome is moves.Outcome.UNDONE, record
+    assert record.reason is errors.Code.MOVE_NOT_PROVED, record
+
+
+@behave.then("the version never took more than the unproved share")
+def check_never_proved(context):
+    assert context.fleet.verdict().proved_at is None
+    check_exposure(context)
+
+
 @behave.when("the operators remove the move")
 def remove_move(context):
     context.fleet.run(0.3 * move_fleet.WINDOW)
--- a/src/peridothitch/gateway/active_move.py
+++ b/src/peridothitch/gateway/active_move.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import threading
 
 import msgspec
@@ -74,13 +75,12 @@
     is_quarantined : callable
         Tells whether a request id is quarantined.
     generator : random.Random
-    since : datetime.timedelta
-        Monotonic time at which this host learnt of the move.
+    clock : peridothitch.ports.clock.Clock
     """
 
-    def __init__(self, record, host_id, route_count, is_quarantined, generator, since):
+    def __init__(self, record, host_id, route_count, is_quarantined, generator, clock):
         self.record = record
-        self.since = since
+        self.since = clock.monotonic()
         self.condemnation = None
         self._host_id = host_id
         self._random = generator
@@ -88,7 +88,11 @@
         self._budget = exposure.ExposureBudget(record.max_exposed_share)
         self._judge = evidence.Judge(route_count)
         self._tally = tally.EvidenceTally(
-            record.service, record.from_version, record.to_version, is_quarantined
+            record.service,
+            record.from_version,
+            record.to_version,
+            is_quarantined,
+            clock.now(),
         )
         self._fleet = FleetView(
             host_ids=frozenset((host_id,)), new_host_count=0, old_host_count=0
@@ -97,6 +101,7 @@
         self._in_flight_by_route = collections.Counter()
         self._has_adverse_news = False
         self._weighed = {}
+        self._collected_since = math.inf
 
     @property
     def is_carrier(self):
@@ -198,10 +203,12 @@
         if sequences == self._weighed:
             return None
         self._weighed = sequences
-        merged = evidence.merge(
+        evidences = [
             msgspec.msgpack.decode(fact.value, type=evidence.HostEvidence)
             for fact in fact_by_key.values()
-        )
+        ]
+        self._collected_since = min((one.since for one in evidences), default=math.inf)
+        merged = evidence.merge(evidences)
         finding = self._judge.update(merged, self.record.elapsed(now))
         if finding is None:
             return None
@@ -233,4 +240,5 @@
             suspicion=self._judge.suspicion,
             wanting_routes=wanting,
             new_host_count=self._fleet.new_host_count,
+            collected_since=self._collected_since,
         )
--- a/src/peridothitch/gateway/moves.py
+++ b/src/peridothitch/gateway/moves.py
@@ -230,7 +230,7 @@
                 len(_routes(document, record.service)),
                 self._is_quarantined,
                 self._random,
-                self._clock.monotonic(),
+                self._clock,
             )
         active.record = record
         active.update_fleet(self._fleet(record))
--- a/src/peridothitch/policy/evidence.py
+++ b/src/peridothitch/policy/evidence.py
@@ -116,6 +116,8 @@
     new_losses, old_losses : tuple of int
         One number for each upstream host and time window with lost connections; equal
         numbers from several entry hosts are the same incident.
+    since : float
+        When the host began to collect, in seconds since the Unix epoch.
     """
 
     exposed: int = 0
@@ -124,6 +126,7 @@
     old: dict[str, RouteCounts] = {}
     new_losses: tuple[int, ...] = ()
     old_losses: tuple[int, ...] = ()
+    since: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -157,10 +160,8 @@
         Cumulative counts of the new and the old version.
     """
     evidences = tuple(evidences)
-    new, old = {}, {}
-    for evidence in evidences:
-        _add_routes(new, evidence.new)
-        _add_routes(old, evidence.old)
+    new = _sum_routes(evidence.new for evidence in evidences)
+    old = _sum_routes(evidence.old for evidence in evidences)
     lost = Stratum("", Measure.LOST)
     new[lost] = _losses(new, (evidence.new_losses for evidence in evidences))
     old[lost] = _losses(old, (evidence.old_losses for evidence in evidences))
@@ -171,12 +172,18 @@
     }
 
 
-def _add_routes(total_by_stratum, counts_by_route):
-    for route, route_counts in counts_by_route.items():
-        for measure, counts in route_counts.by_measure().items():
-            stratum = Stratum(route, measure)
-            total = total_by_stratum.get(stratum, Counts())
-            total_by_stratum[stratum] = total + counts
+def _sum_routes(counts_by_routes):
+    rows_by_route = {}
+    for counts_by_route in counts_by_routes:
+        for route, route_counts in counts_by_route.items():
+            row = msgspec.structs.astuple(route_counts)
+            rows_by_route.setdefault(route, []).append(row)
+    total_by_stratum = {}
+    for route, rows in rows_by_route.items():
+        total = RouteCounts(*map(sum, zip(*rows, strict=True)))
+        for measure, counts in total.by_measure().items():
+            total_by_stratum[Stratum(route, measure)] = counts
+    return total_by_stratum
 
 
 def _losses(total_by_stratum, losses):
--- a/src/peridothitch/policy/moves.py
+++ b/src/peridothitch/policy/moves.py
@@ -39,6 +39,7 @@
 _RAMP_STEP_OF_WINDOW = 0.025
 _RAMP_PART_OF_REST = 0.8
 _HOLD_SUSPICION = 0.02
+_LATEST_COLLECTION = 0.5
 _ID_LENGTH = 16
 
 
@@ -126,12 +127,15 @@
         Routes that have traffic and too few attempts of the new version.
     new_host_count : int
         Live hosts of the new version.
+    collected_since : float
+        Since when evidence was collected, in seconds since the Unix epoch.
     """
 
     condemned: str = ""
     suspicion: float = 0.0
     wanting_routes: tuple[str, ...] = ()
     new_host_count: int = 1
+    collected_since: float = 0.0
 
 
 class Prove(msgspec.Struct, frozen=True):
@@ -266,11 +270,17 @@
         return None
     if not weighing.new_host_count or weighing.suspicion >= _HOLD_SUSPICION:
         return None
+    if weighing.collected_since > _latest_collection(record).timestamp():
+        return None
     if weighing.wanting_routes and elapsed < _LAST_PATIENT_START:
         return None
     return Prove(now)
 
 
+def _latest_collection(record):
+    return record.start + _LATEST_COLLECTION * record.window
+
+
 def _undone(reason, detail):
     return Close(Outcome.UNDONE, reason, detail)
 
--- a/src/peridothitch/policy/tally.py
+++ b/src/peridothitch/policy/tally.py
@@ -73,9 +73,12 @@
     service, old_version, new_version : str
     is_quarantined : callable
         Tells whether a request id is quarantined.
+    since : datetime.datetime
+        When it begins to collect.
     """
 
-    def __init__(self, service, old_version, new_version, is_quarantined):
+    def __init__(self, service, old_version, new_version, is_quarantined, since):
+        self._since = since.timestamp()
         self._service = service
         self._versions = (old_version, new_version)
         self._is_quarantined = is_quarantined
@@ -127,6 +130,7 @@
             old=dict(self._counts_by_route_by_version[old]),
             new_losses=tuple(self._losses_by_version[new]),
             old_losses=tuple(self._losses_by_version[old]),
+            since=self._since,
         )
 
     def _is_new(self, outcome):
