Compare adverse events by their share instead of plug-in rates; measure moves

With 8 requests/s and 6 min a fault on the rare route ends as "not proved" instead of "faulty"; the scenarios of findings run with 20 requests/s.

--- a/features/steps/move_evidence_steps.py
+++ b/features/steps/move_evidence_steps.py
@@ -63,9 +63,9 @@
     for tick in range(TICKS):
         rate = base + (0.3 if outage <= tick < outage + 30 else 0.0)
         trials = generator.randrange(2)
-        new += evidence.Counts(trials, count_events(generator, trials, rate))
+        new += evidence.Counts(trials, count_events(generator, trials, rate), trials)
         trials = generator.randrange(12)
-        old += evidence.Counts(trials, count_events(generator, trials, rate))
+        old += evidence.Counts(trials, count_events(generator, trials, rate), trials)
         yield tick, new, old
 
 
--- a/features/steps/moves_steps.py
+++ b/features/steps/moves_steps.py
@@ -36,7 +36,8 @@
 
 @behave.given("a fleet that moves to a version that {fault}")
 def start_faulty(context, fault):
-    context.fleet = move_fleet.Fleet(context.seed, VERSION_BY_FAULT[fault])
+    version = VERSION_BY_FAULT[fault]
+    context.fleet = move_fleet.Fleet(context.seed, version, rate=20.0)
 
 
 @behave.given("a fleet that moves to a good version")
--- a/src/peridothitch/gateway/active_move.py
+++ b/src/peridothitch/gateway/active_move.py
@@ -11,7 +11,7 @@
 
 __all__ = ["ActiveMove", "Condemnation", "FleetView"]
 
-_NEEDED_ROUTE_SHARE = 0.5
+_NEEDED_ROUTE_SHARE = 0.1
 _MAX_CARRIER_SHARE = 0.8
 _TRICKLE_PART = 0.5
 
@@ -61,6 +61,11 @@
     new_host_count: int
     old_host_count: int
 
+    @property
+    def new_host_share(self):
+        """Share of the upstream hosts that run the new version."""
+        return self.new_host_count / max(1, self.new_host_count + self.old_host_count)
+
 
 class ActiveMove:
     """Picks versions, collects evidence and weighs it.
@@ -133,12 +138,12 @@
         now : datetime.datetime
         """
         with self._lock:
-            self._tally.requests += 1
-            if not self._takes_new(route, now):
-                return self.record.from_version
-            self._tally.exposed += 1
-            self._in_flight_by_route[route] += 1
-            return self.record.to_version
+            version = self.record.from_version
+            if self._takes_new(route, now):
+                version = self.record.to_version
+                self._in_flight_by_route[route] += 1
+            self._tally.start(version, route)
+            return version
 
     def _takes_new(self, route, now):
         if self.condemnation is not None or not self._fleet.new_host_count:
@@ -166,7 +171,7 @@
         if exposure.is_sample_wanted(samples):
             return _NEEDED_ROUTE_SHARE
         planned = exposure.NOMINAL_SHARE_OF_CAP * self.record.max_exposed_share
-        return min(_NEEDED_ROUTE_SHARE, _TRICKLE_PART * planned * scale)
+        return min(_MAX_CARRIER_SHARE, _TRICKLE_PART * planned * scale)
 
     def observe(self, outcome):
         """Take in one outcome of an attempt."""
@@ -209,7 +214,9 @@
         ]
         self._collected_since = min((one.since for one in evidences), default=math.inf)
         merged = evidence.merge(evidences)
-        finding = self._judge.update(merged, self.record.elapsed(now))
+        finding = self._judge.update(
+            merged, self.record.elapsed(now), self._fleet.new_host_share
+        )
         if finding is None:
             return None
         return Condemnation(
--- a/src/peridothitch/policy/evidence.py
+++ b/src/peridothitch/policy/evidence.py
@@ -1,10 +1,11 @@
 """Compares a new version with the old one's own figures at the same time.
 
-Every pair of route and measure is one sequential test. A test multiplies likelihood
-ratios of "the new version is worse" against "it is no worse than the old one is now",
-summed over the times at which a fault may have begun. Under the second hypothesis the
-expected value never exceeds 1, so the chance that it ever reaches a bound ``b`` is at
-most ``1 / b``, however often it is looked at.
+Every pair of route and measure is one sequential test. It looks only at adverse events
+and asks which version each one struck. While the new version is no worse, an event
+strikes it as often as requests go to it, whatever disturbs both versions at that time.
+A test multiplies likelihood ratios against that, summed over the times at which a fault
+may have begun. The expected value of a good version never exceeds 1, so the chance that
+it ever reaches a bound ``b`` is at most ``1 / b``, however often it is looked at.
 """
 
 import dataclasses
@@ -28,13 +29,13 @@
 MAX_WRONG_TAKE_BACK = 0.004
 """Bound on the chance that a move of a version no worse than the old is taken back."""
 
-_EXCESSES = (0.1, 0.3, 0.7)
+_RATIOS = (4.0, 12.0, 50.0)
 _INITIAL_MASS = 0.5
-_RECENT_MEMORY = 40.0
-_LONG_MEMORY = 1000.0
-_SHRINKAGE = 10.0
+_PRIOR_BY_MEMORY = {30.0: 0.5, 200.0: 2.0}
+_OLD_RATE_MEMORY = 1000.0
+_NEW_RATE_MEMORY = 40.0
+_SUSPECT_FACTOR = 2.0
 _MIN_EVENTS = 3
-_MAX_RATE = 0.95
 
 
 class Measure(enum.Enum):
@@ -46,23 +47,20 @@
     LOST = "lost"
 
 
-_FLOOR_BY_MEASURE = {
-    Measure.FAILED: 0.005,
-    Measure.FIRST_TOKEN: 0.05,
-    Measure.TOKEN_GAP: 0.05,
-    Measure.LOST: 0.01,
-}
-
-
 @dataclasses.dataclass(frozen=True)
 class Counts:
-    """Trials and the adverse events among them."""
+    """Trials that were begun and ended, and the adverse events among the ended."""
 
     trials: int = 0
     events: int = 0
+    starts: int = 0
 
     def __add__(self, other):
-        return Counts(self.trials + other.trials, self.events + other.events)
+        return Counts(
+            self.trials + other.trials,
+            self.events + other.events,
+            self.starts + other.starts,
+        )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -84,6 +82,8 @@
         Answers whose first byte was timed, and the slow ones.
     gaps, slow_gaps : int
         Answers whose mean token gap was timed, and the slow ones.
+    starts : int
+        Requests for which the version was picked.
     """
 
     attempts: int = 0
@@ -92,13 +92,14 @@
     slow_firsts: int = 0
     gaps: int = 0
     slow_gaps: int = 0
+    starts: int = 0
 
     def by_measure(self):
         """Return `Counts` by measure."""
         return {
-            Measure.FAILED: Counts(self.attempts, self.failed),
-            Measure.FIRST_TOKEN: Counts(self.firsts, self.slow_firsts),
-            Measure.TOKEN_GAP: Counts(self.gaps, self.slow_gaps),
+            Measure.FAILED: Counts(self.attempts, self.failed, self.starts),
+            Measure.FIRST_TOKEN: Counts(self.firsts, self.slow_firsts, self.starts),
+            Measure.TOKEN_GAP: Counts(self.gaps, self.slow_gaps, self.starts),
         }
 
 
@@ -189,28 +190,49 @@
 def _losses(total_by_stratum, losses):
     events = len(set().union(*losses))
     answered = sum(
-        counts.trials
-        for stratum, counts in total_by_stratum.items()
-        if stratum.measure is Measure.FAILED
+        (
+            counts
+            for stratum, counts in total_by_stratum.items()
+            if stratum.measure is Measure.FAILED
+        ),
+        Counts(),
     )
-    return Counts(answered + events, events)
+    return Counts(answered.trials + events, events, answered.starts)
 
 
-class SequentialTest:
-    """Test of one stratum with a bounded chance of a wrong finding.
+class _RecentShare:
+    """Share of recent requests that went to the new version."""
+
+    def __init__(self, memory, prior):
+        self._memory = memory
+        self._prior = prior
+        self._new = 0.0
+        self._all = 0.0
+
+    def add(self, new, old):
+        """Take in numbers of requests."""
+        self._new += new
+        self._all += new + old
+        if self._all > self._memory:
+            self._new *= self._memory / self._all
+            self._all = self._memory
+
+    @property
+    def value(self):
+        """Upper estimate of the share."""
+        return (self._new + self._prior) / (self._all + self._prior)
 
-    Parameters
-    ----------
-    floor : float
-        Lowest rate of adverse events that is assumed of the old version.
-    """
 
-    def __init__(self, floor):
-        self._floor = floor
-        self._masses = [_INITIAL_MASS] * len(_EXCESSES)
+class SequentialTest:
+    """Test of one stratum with a bounded chance of a wrong finding."""
+
+    def __init__(self):
+        self._masses = [_INITIAL_MASS] * len(_RATIOS)
         self._pending_mass = 0.0
-        self._recent = (0.0, 0.0)
-        self._long = (0.0, 0.0)
+        self._ended_shares = _recent_shares()
+        self._started_shares = _recent_shares()
+        self._old = (0.0, 0.0)
+        self._new = (0.0, 0.0)
         self.events = 0
 
     @property
@@ -220,16 +242,17 @@
 
     @property
     def old_rate(self):
-        """Upper estimate of the old version's rate of adverse events now."""
-        trials, events = self._long
-        rate = (events + 0.5) / (trials + 1.0)
-        deviation = math.sqrt(rate * (1.0 - rate) / (trials + 1.0))
-        long_rate = min(1.0, events / max(trials, 1.0) + deviation)
-        trials, events = self._recent
-        recent_rate = (events + _SHRINKAGE * long_rate) / (trials + _SHRINKAGE)
-        return min(_MAX_RATE, max(self._floor, long_rate, recent_rate))
-
-    def update(self, new, old, elapsed):
+        """Rate of adverse events of the old version."""
+        trials, events = self._old
+        return events / max(1.0, trials)
+
+    @property
+    def is_worse_lately(self):
+        """Whether the new version's last attempts had a clearly higher rate."""
+        trials, events = self._new
+        return events > _SUSPECT_FACTOR * self.old_rate * trials
+
+    def update(self, new, old, elapsed, least_share=0.0):
         """Take in what has come since the last update.
 
         Parameters
@@ -238,24 +261,37 @@
             Counts since the last update.
         elapsed : float
             Share of the move's time that has passed since the last update.
+        least_share : float
+            Lowest share of events that may strike a good new version.
         """
-        self._recent = _decay(self._recent, old, _RECENT_MEMORY)
-        self._long = _decay(self._long, old, _LONG_MEMORY)
         self._pending_mass += (1.0 - _INITIAL_MASS) * elapsed
-        if not new.trials:
+        # Failures end before answers that were begun at the same time, so what was
+        # begun counts as well as what has ended.
+        for share in self._ended_shares:
+            share.add(new.trials, old.trials)
+        for share in self._started_shares:
+            share.add(new.starts, old.starts)
+        self._old = _decay(self._old, old, _OLD_RATE_MEMORY)
+        self._new = _decay(self._new, new, _NEW_RATE_MEMORY)
+        if not new.events and not old.events:
             return
         self.events += new.events
-        rate = self.old_rate
-        for index, excess in enumerate(_EXCESSES):
-            worse = rate + excess * (1.0 - rate)
-            logarithm = new.events * math.log(worse / rate)
-            quiet = new.trials - new.events
-            logarithm += quiet * math.log((1.0 - worse) / (1.0 - rate))
+        shares = (*self._ended_shares, *self._started_shares)
+        expected = max(least_share, *(share.value for share in shares))
+        for index, ratio in enumerate(_RATIOS):
+            logarithm = new.events * math.log(ratio)
+            logarithm -= (new.events + old.events) * math.log1p(
+                expected * (ratio - 1.0)
+            )
             mass = self._masses[index] + self._pending_mass
             self._masses[index] = mass * math.exp(min(logarithm, 500.0))
         self._pending_mass = 0.0
 
 
+def _recent_shares():
+    return [_RecentShare(*item) for item in _PRIOR_BY_MEMORY.items()]
+
+
 def _decay(pair, counts, memory):
     trials, events = pair[0] + counts.trials, pair[1] + counts.events
     if trials <= memory:
@@ -281,8 +317,12 @@
 
     @property
     def suspicion(self):
-        """Largest evidence of any stratum, as a share of the bound."""
-        values = [test.value for test in self._test_by_stratum.values()]
+        """Largest evidence of a stratum that still looks worse, per bound."""
+        values = [
+            test.value
+            for test in self._test_by_stratum.values()
+            if test.is_worse_lately
+        ]
         return max(values, default=0.0) / self._bound
 
     def samples(self, route):
@@ -295,7 +335,7 @@
         total = self._total_by_stratum.get(Stratum(route, Measure.FAILED))
         return total[1].trials if total else 0
 
-    def update(self, total_by_stratum, elapsed):
+    def update(self, total_by_stratum, elapsed, new_host_share=0.0):
         """Weigh cumulative evidence.
 
         Parameters
@@ -305,6 +345,9 @@
             its facts were lost, are taken as the new base and add no evidence.
         elapsed : float
             Share of the move's time that has passed, 0 to 1.
+        new_host_share : float
+            Share of the service's hosts that run the new version; a crash strikes a
+            good new version that often.
 
         Returns
         -------
@@ -314,19 +357,22 @@
         self._elapsed += step
         finding = None
         for stratum, total in total_by_stratum.items():
-            found = self._weigh(stratum, total, step)
+            is_lost = stratum.measure is Measure.LOST
+            least_share = new_host_share if is_lost else 0.0
+            found = self._weigh(stratum, total, step, least_share)
             finding = finding or found
         return finding
 
-    def _weigh(self, stratum, total, step):
+    def _weigh(self, stratum, total, step, least_share):
         test = self._test_by_stratum.get(stratum)
         if test is None:
-            test = SequentialTest(_FLOOR_BY_MEASURE[stratum.measure])
+            test = SequentialTest()
             test.update(Counts(), Counts(), self._elapsed - step)
             self._test_by_stratum[stratum] = test
         new, old = self._total_by_stratum.get(stratum, (Counts(), Counts()))
         self._total_by_stratum[stratum] = total
-        test.update(_growth(new, total[0]), _growth(old, total[1]), step)
+        growths = _growth(new, total[0]), _growth(old, total[1])
+        test.update(*growths, step, least_share)
         if test.events < _MIN_EVENTS or test.value < self._bound:
             return None
         return Finding(stratum, total[0], test.old_rate)
@@ -334,6 +380,7 @@
 
 def _growth(before, after):
     trials, events = after.trials - before.trials, after.events - before.events
-    if trials < 0 or not 0 <= events <= trials:
+    starts = after.starts - before.starts
+    if trials < 0 or starts < 0 or not 0 <= events <= trials:
         return Counts()
-    return Counts(trials, events)
+    return Counts(trials, events, starts)
--- a/src/peridothitch/policy/tally.py
+++ b/src/peridothitch/policy/tally.py
@@ -91,6 +91,12 @@
         self.exposed = 0
         self.requests = 0
 
+    def start(self, version, route):
+        """Count a request for which `version` was picked."""
+        self.requests += 1
+        self.exposed += version == self._versions[1]
+        self._add(version, route, starts=1)
+
     def observe(self, outcome):
         """Take in one `peridothitch.ports.outcomes.AttemptOutcome`.
 
@@ -153,7 +159,7 @@
         return False
 
     def _add_timeout(self, outcome):
-        self._add(outcome, firsts=1, slow_firsts=1)
+        self._add(outcome.version, outcome.route, firsts=1, slow_firsts=1)
         return self._is_new(outcome)
 
     def _add_answer(self, outcome):
@@ -168,7 +174,7 @@
             gap = rest / (outcome.token_count - 1)
             slow = self._time(self._gap_by_route, outcome, gap)
             change |= {} if slow is None else {"gaps": 1, "slow_gaps": int(slow)}
-        self._add(outcome, **change)
+        self._add(outcome.version, outcome.route, **change)
         adverse = ("failed", "slow_firsts", "slow_gaps")
         return self._is_new(outcome) and any(change.get(name) for name in adverse)
 
@@ -179,11 +185,11 @@
             threshold.learn(seconds)
         return slow
 
-    def _add(self, outcome, **change):
-        counts_by_route = self._counts_by_route_by_version[outcome.version]
-        counts = counts_by_route.get(outcome.route, evidence.RouteCounts())
+    def _add(self, version, route, **change):
+        counts_by_route = self._counts_by_route_by_version[version]
+        counts = counts_by_route.get(route, evidence.RouteCounts())
         sums = {name: getattr(counts, name) + more for name, more in change.items()}
-        counts_by_route[outcome.route] = msgspec.structs.replace(counts, **sums)
+        counts_by_route[route] = msgspec.structs.replace(counts, **sums)
 
 
 def _is_excused(outcome):
