--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV ?= $(CACHE)/venv-$(LOCK)
 RUN := PYTHONPATH=src $(VENV)/bin/python
 
-.PHONY: run test check format build venv
+.PHONY: run test check format build venv mutants
 
 venv: $(VENV)/.done
 
@@ -24,6 +24,7 @@
 	$(VENV)/bin/ruff check .
 	PYTHONPATH=src $(VENV)/bin/lint-imports --no-cache
 	$(RUN) tools/check_source.py
+	$(RUN) tools/check_docs.py
 
 format: venv
 	$(VENV)/bin/ruff format .
@@ -31,3 +32,6 @@
 
 build: venv
 	$(RUN) tools/build_binary.py
+
+mutants: venv
+	$(RUN) tools/mutants.py
