--- a/benchmarks/fleet_size.py
+++ b/benchmarks/fleet_size.py
@@ -45,6 +45,10 @@
     ]
 
 
+def report(cells):
+    print(f"so far: {cells}", file=sys.stderr, flush=True)
+
+
 def measure(size):
     """Return the cells of one line."""
     fleet = fake_documents.DocumentFleet(size, SEED, data_centres=DATA_CENTRES)
@@ -61,11 +65,13 @@
         fleet.run(5 * SECOND)
     calls = sum(fleet.store.call_count_by_method.values()) - calls
     cells += [f"{max(changes):.2f}", f"{calls / EDITS:.0f}"]
+    report(cells)
     kills = []
     for _ in range(KILLS):
         fleet.kill(fleet.random.choice(sorted(fleet.live())))
         kills.append(fleet.run_until(fleet.agrees, LIMIT).total_seconds())
     cells.append(f"{max(kills):.2f}")
+    report(cells)
     fleet.split(local_ids(fleet, (0, 1)))
     fleet.run(SPLIT_SECONDS * SECOND)
     fleet.heal()
@@ -74,6 +80,7 @@
     fleet.run(max(0.0, HEAL_SECONDS - healed) * SECOND)
     mean, most = summary(fleet, max(healed, HEAL_SECONDS))
     cells.append(f"{healed:.1f}; {mean:.0f}, {most:.0f}")
+    report(cells)
     for host_id in local_ids(fleet, (1,)):
         fleet.kill(host_id)
     assert fleet.edit()
