--- a/benchmarks/control_plane.py
+++ b/benchmarks/control_plane.py
@@ -24,7 +24,7 @@
     document_file,
     memory_store,
     system_clock,
-    wsgi_front,
+    wsgi_server,
 )
 from peridothitch.coordination import documents
 from peridothitch.gateway import embedded
@@ -99,10 +99,10 @@
         memory = memory_store.MemoryStore(clock)
         self.memory = CountingStore(faulty_store.FaultyStore(memory, clock))
         self.servers = [
-            wsgi_front.WsgiServer(
+            wsgi_server.WsgiServer(
                 store.StoreService(self.memory), ANY_PORT, threads=STORE_THREADS
             ),
-            wsgi_front.WsgiServer(
+            wsgi_server.WsgiServer(
                 hosts.HostListService(hosts.StaticHostList()), ANY_PORT
             ),
         ]
--- a/src/peridothitch/cli/status.py
+++ b/src/peridothitch/cli/status.py
@@ -5,22 +5,17 @@
 
 import click
 
+from peridothitch import errors
+from peridothitch.cli import exits, output, settings
+
 __all__ = ["status"]
 
 _TIMEOUT_SECONDS = 5.0
-_EXIT_UNREACHABLE = 4
-_EXIT_UNDONE = 7
 
 
-@click.command()
-@click.argument("addresses", nargs=-1, required=True)
-@click.option(
-    "--output",
-    type=click.Choice(["text", "json"]),
-    default="text",
-    show_default=True,
-    help="Form of the report.",
-)
+@click.command(cls=settings.SettingsCommand)
+@click.argument("addresses", nargs=-1, required=True, type=settings.ADDRESS)
+@output.option
 @click.pass_context
 def status(ctx, addresses, output):
     """Print what the entry hosts report as done and undone.
@@ -29,19 +24,21 @@
     entry hosts. Ends with exit code 7 when a change is not in force on every live host,
     and with 4 when none of ADDRESSES answers.
     """
-    fault_by_address = {}
+    report = _read_first(addresses)
+    output.print_result(report, _text(report))
+    if not report["done"]:
+        ctx.exit(exits.ExitCode.UNDONE)
+
+
+def _read_first(addresses):
+    faults = []
     for address in addresses:
         try:
-            report = _get(address, "/v1/status")
-            report["moves"] = _get(address, "/v1/moves").get("moves", [])
+            moves = _get(address, "/v1/moves").get("moves", [])
+            return _get(address, "/v1/status") | {"moves": moves}
         except (OSError, http.client.HTTPException, ValueError) as error:
-            fault_by_address[address] = str(error)
-            continue
-        click.echo(json.dumps(report, indent=2) if output == "json" else _text(report))
-        ctx.exit(0 if report["done"] else _EXIT_UNDONE)
-    for address, fault in fault_by_address.items():
-        click.echo(f"{address} does not answer: {fault}", err=True)
-    ctx.exit(_EXIT_UNREACHABLE)
+            faults.append(f"{address}: {error}")
+    raise errors.PeerError("no entry host answers: " + "; ".join(faults), sent=True)
 
 
 def _get(address, path):
