--- a/src/peridothitch/gateway/active_move.py
+++ b/src/peridothitch/gateway/active_move.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import threading
 
 import msgspec
@@ -10,7 +11,7 @@
 
 __all__ = ["ActiveMove", "Condemnation", "FleetView"]
 
-_NEEDED_ROUTE_SHARE = 0.5
+_NEEDED_ROUTE_SHARE = 0.1
 _MAX_CARRIER_SHARE = 0.8
 _TRICKLE_PART = 0.5
 
@@ -60,6 +61,11 @@
     new_host_count: int
     old_host_count: int
 
+    @property
+    def new_host_share(self):
+        """Share of the upstream hosts that run the new version."""
+        return self.new_host_count / max(1, self.new_host_count + self.old_host_count)
+
 
 class ActiveMove:
     """Picks versions, collects evidence and weighs it.
@@ -74,13 +80,12 @@
     is_quarantined : callable
         Tells whether a request id is quarantined.
     generator : random.Random
-    since : datetime.timedelta
-        Monotonic time at which this host learnt of the move.
+    clock : peridothitch.ports.clock.Clock
     """
 
-    def __init__(self, record, host_id, route_count, is_quarantined, generator, since):
+    def __init__(self, record, host_id, route_count, is_quarantined, generator, clock):
         self.record = record
-        self.since = since
+        self.since = clock.monotonic()
         self.condemnation = None
         self._host_id = host_id
         self._random = generator
@@ -88,7 +93,11 @@
         self._budget = exposure.ExposureBudget(record.max_exposed_share)
         self._judge = evidence.Judge(route_count)
         self._tally = tally.EvidenceTally(
-            record.service, record.from_version, record.to_version, is_quarantined
+            record.service,
+            record.from_version,
+            record.to_version,
+            is_quarantined,
+            clock.now(),
         )
         self._fleet = FleetView(
             host_ids=frozenset((host_id,)), new_host_count=0, old_host_count=0
@@ -97,6 +106,7 @@
         self._in_flight_by_route = collections.Counter()
         self._has_adverse_news = False
         self._weighed = {}
+        self._collected_since = math.inf
 
     @property
     def is_carrier(self):
@@ -128,12 +138,12 @@
         now : datetime.datetime
         """
         with self._lock:
-            self._tally.requests += 1
-            if not self._takes_new(route, now):
-                return self.record.from_version
-            self._tally.exposed += 1
-            self._in_flight_by_route[route] += 1
-            return self.record.to_version
+            version = self.record.from_version
+            if self._takes_new(route, now):
+                version = self.record.to_version
+                self._in_flight_by_route[route] += 1
+            self._tally.start(version, route)
+            return version
 
     def _takes_new(self, route, now):
         if self.condemnation is not None or not self._fleet.new_host_count:
@@ -161,7 +171,7 @@
         if exposure.is_sample_wanted(samples):
             return _NEEDED_ROUTE_SHARE
         planned = exposure.NOMINAL_SHARE_OF_CAP * self.record.max_exposed_share
-        return min(_NEEDED_ROUTE_SHARE, _TRICKLE_PART * planned * scale)
+        return min(_MAX_CARRIER_SHARE, _TRICKLE_PART * planned * scale)
 
     def observe(self, outcome):
         """Take in one outcome of an attempt."""
@@ -198,11 +208,15 @@
         if sequences == self._weighed:
             return None
         self._weighed = sequences
-        merged = evidence.merge(
+        evidences = [
             msgspec.msgpack.decode(fact.value, type=evidence.HostEvidence)
             for fact in fact_by_key.values()
+        ]
+        self._collected_since = min((one.since for one in evidences), default=math.inf)
+        merged = evidence.merge(evidences)
+        finding = self._judge.update(
+            merged, self.record.elapsed(now), self._fleet.new_host_share
         )
-        finding = self._judge.update(merged, self.record.elapsed(now))
         if finding is None:
             return None
         return Condemnation(
@@ -233,4 +247,5 @@
             suspicion=self._judge.suspicion,
             wanting_routes=wanting,
             new_host_count=self._fleet.new_host_count,
+            collected_since=self._collected_since,
         )
--- a/src/peridothitch/gateway/dispatch.py
+++ b/src/peridothitch/gateway/dispatch.py
@@ -6,7 +6,7 @@
 import threading
 
 from peridothitch import errors
-from peridothitch.policy import choice, retries
+from peridothitch.policy import cache_moves, choice, retries
 from peridothitch.policy import document as documents
 from peridothitch.ports import upstream
 
@@ -17,6 +17,9 @@
 _JUDGE_WAIT = datetime.timedelta(seconds=1)
 _SUSPECT_WAIT = datetime.timedelta(milliseconds=200)
 _JUDGED_CRASHES = 2
+_BLAMELESS_CODES = frozenset(
+    {errors.Code.CONNECTION_SILENT, errors.Code.DEADLINE_EXCEEDED}
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -31,7 +34,9 @@
     guard : peridothitch.gateway.quarantine.CrashGuard
     leaving : peridothitch.gateway.leaving.LeavingBoard
     limits : peridothitch.gateway.limits.UpstreamLimits
+    health : peridothitch.gateway.limits.UpstreamHealth
     budgets : peridothitch.gateway.limits.RetryBudgets
+    mover : peridothitch.gateway.cache_moves.CacheMover
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
     data_centre : str
@@ -45,7 +50,9 @@
     guard: object
     leaving: object
     limits: object
+    health: object
     budgets: object
+    mover: object
     clock: object
     metrics: object
     data_centre: str
@@ -85,6 +92,8 @@
         self._rounds = 0
         self._may_have_run = False
         self._host = None
+        self._source = None
+        self._has_cache = False
         self._never = threading.Event()
         self._version = None
         self._last_error = None
@@ -111,14 +120,54 @@
         while True:
             self._host = self._next_host()
             self._attempts += 1
+            self._has_cache = self._move_cache(job)
             try:
                 attempt = self._parts.runner.open(job, self._host, self._span)
             except errors.UpstreamError as error:
                 self.check(error)
                 continue
+            self._note_answer(attempt)
             if not self._is_worth_repeating(attempt):
                 return attempt
 
+    @property
+    def has_cache(self):
+        """Whether the last attempt's upstream got the KV cache of the tokens known."""
+        return self._has_cache
+
+    def should_leave(self, remaining_tokens, token_gap):
+        """Return whether the stream should move away from its upstream now."""
+        marked = self._parts.leaving.mark([self._current()])
+        if marked[0].state is upstream.HostState.LIVE:
+            return False
+        return cache_moves.should_move(remaining_tokens, token_gap)
+
+    def _current(self):
+        listed = self._parts.view.hosts(self._job.route.service)
+        for host in listed:
+            if host.host_id == self._host.host_id:
+                return host
+        return self._host
+
+    def leave(self):
+        """Go on elsewhere, with the KV cache if that is cheaper."""
+        self._tried.add(self._host.host_id)
+        self._source = self._host
+        self._attempts -= 1
+        self._parts.metrics.count("streams_moved")
+
+    def _move_cache(self, job):
+        source, self._source = self._source, None
+        if source is None or job.resume is None:
+            return False
+        return self._parts.mover.move(job, source, self._host)
+
+    def _note_answer(self, attempt):
+        if attempt.status < _FAILED_STATUS:
+            self._parts.health.note_answer(self._host.host_id)
+        else:
+            self._parts.health.note_failure(self._host.host_id)
+
     def _is_worth_repeating(self, attempt):
         if attempt.status < _FAILED_STATUS:
             return False
@@ -148,8 +197,9 @@
         """
         self._last_error = error
         self._may_have_run |= error.ran is not errors.Ran.NO
-        if error.code is not errors.Code.CONNECTION_SILENT:
+        if error.code not in _BLAMELESS_CODES:
             self._tried.add(self._host.host_id)
+            self._parts.health.note_failure(self._host.host_id)
         self._judge_crashes()
         if not retries.may_repeat(self._job.route.effect, error):
             raise self._final(error)
@@ -212,7 +262,8 @@
             tried=frozenset(self._tried),
             in_flight_by_host_id=in_flight,
         )
-        return choice.choose_host(self._apart(open_hosts), context)
+        preferred = parts.health.prefer(self._apart(open_hosts))
+        return choice.choose_host(preferred, context)
 
     def _fitting(self, hosts):
         return [
