--- a/features/move_fleet.py
+++ b/features/move_fleet.py
@@ -22,6 +22,7 @@
 TICK = datetime.timedelta(milliseconds=500)
 WINDOW = datetime.timedelta(minutes=6)
 SERVICE = "assistant"
+KINDS = ("move-record", "move-in-force", "move-evidence", "condemned")
 
 
 class VirtualClock(clock.Clock):
@@ -75,7 +76,7 @@
 
     def copy_all(self, target):
         for board in tuple(self.board_by_host.values()):
-            for kind in ("moves", "move-evidence", "move-condemned"):
+            for kind in KINDS:
                 for fact in board.facts(kind).values():
                     solo.LocalFactBoard.publish(target, fact)
 
@@ -318,5 +319,5 @@
         return [
             fact
             for board in self.network.board_by_host.values()
-            for fact in board.facts("move-condemned").values()
+            for fact in board.facts("condemned").values()
         ]
--- a/src/peridothitch/gateway/moves.py
+++ b/src/peridothitch/gateway/moves.py
@@ -6,7 +6,6 @@
 """
 
 import datetime
-import threading
 
 import msgspec
 
@@ -18,10 +17,10 @@
 
 __all__ = ["MoveKeeper"]
 
-_STATE_KIND = "moves"
-_STATE_KEY = "state"
+_RECORD_KIND = "move-record"
+_OVERRIDE_KIND = "move-in-force"
 _EVIDENCE_KIND = "move-evidence"
-_CONDEMNED_KIND = "move-condemned"
+_CONDEMNED_KIND = "condemned"
 _TICK = datetime.timedelta(milliseconds=500)
 _QUIET_INTERVAL = datetime.timedelta(seconds=5)
 _DECISION_INTERVAL = datetime.timedelta(seconds=1)
@@ -30,14 +29,6 @@
 _READ_INTERVAL = datetime.timedelta(seconds=60)
 
 
-class _State(msgspec.Struct, frozen=True, kw_only=True):
-    """Moves and overrides as one fact."""
-
-    revision: int = 0
-    records: tuple[moves.MoveRecord, ...] = ()
-    override_by_service: dict[str, verdicts.Override] = {}
-
-
 class MoveKeeper(outcomes.AttemptObserver):
     """Moves of all services on this host.
 
@@ -80,15 +71,15 @@
         self._metrics = metrics
         self._random = generator
         self._is_quarantined = is_quarantined
-        self._lock = threading.Lock()
-        self._state = _State()
+        self._record_by_id = {}
+        self._override_by_service = {}
+        self._read_sequences = {}
         self._active_by_service = {}
         self._next_read = clock.monotonic()
         self._next_decision = clock.monotonic()
         self._decider = move_decider.MoveDecider(book, clock)
         self._published_by_id = {}
         board.subscribe(_CONDEMNED_KIND, self._on_condemned)
-        board.subscribe(_STATE_KIND, self._on_state)
 
     def pick(self, job):
         """Return the name of the version for a request.
@@ -111,8 +102,8 @@
     def status(self):
         """Return what operators read: a list of moves, plain values only."""
         document = self._feed.current()
-        reports = [self._report(record) for record in self._state.records]
-        known = {record.move_id for record in self._state.records}
+        reports = [self._report(record) for record in self._record_by_id.values()]
+        known = self._record_by_id.keys()
         waiting = document.move_by_name.items() if document is not None else ()
         for name, move in waiting:
             if moves.identify(name, move) not in known:
@@ -134,6 +125,7 @@
         if document is None:
             return
         self._read_when_due()
+        self._read_facts()
         self._follow(document)
         for active in tuple(self._active_by_service.values()):
             self._exchange_evidence(active)
@@ -142,7 +134,7 @@
             self._follow(document)
 
     def _in_force(self, document, service):
-        override = self._state.override_by_service.get(service)
+        override = self._override_by_service.get(service)
         pair = (override.from_current, override.version) if override else None
         return moves.version_in_force(document.service_by_name[service], pair)
 
@@ -181,24 +173,42 @@
             self._metrics.count("move_store_failures")
 
     def _take(self, loaded):
-        state = _State(
-            revision=loaded.revision,
-            records=tuple(stored.record for stored in loaded.move_by_id.values()),
-            override_by_service=loaded.override_by_service,
-        )
-        self._adopt(state)
-        if self._leadership.is_held():
-            value = msgspec.msgpack.encode(state)
-            fact = facts.Fact(_STATE_KIND, _STATE_KEY, state.revision, value)
-            self._board.publish(fact)
-
-    def _on_state(self, fact):
-        self._adopt(msgspec.msgpack.decode(fact.value, type=_State))
-
-    def _adopt(self, state):
-        with self._lock:
-            if state.revision > self._state.revision:
-                self._state = state
+        value_by_key = {
+            (_RECORD_KIND, move_id): msgspec.msgpack.encode(stored.record)
+            for move_id, stored in loaded.move_by_id.items()
+        }
+        ended = dict.fromkeys(self._board.facts(_OVERRIDE_KIND))
+        for service in ended | loaded.override_by_service:
+            override = loaded.override_by_service.get(service)
+            value = msgspec.msgpack.encode(override) if override is not None else b""
+            value_by_key[_OVERRIDE_KIND, service] = value
+        for (kind, key), value in value_by_key.items():
+            known = self._board.facts(kind).get(key)
+            if known is None or known.value != value:
+                self._board.publish(facts.Fact(kind, key, loaded.revision, value))
+        self._read_facts()
+
+    def _read_facts(self):
+        """Take over records and overrides that are news."""
+        record_by_id = dict(self._record_by_id)
+        for move_id, fact in self._news(_RECORD_KIND):
+            record = msgspec.msgpack.decode(fact.value, type=moves.MoveRecord)
+            record_by_id[move_id] = record
+        override_by_service = dict(self._override_by_service)
+        for service, fact in self._news(_OVERRIDE_KIND):
+            override_by_service.pop(service, None)
+            if fact.value:
+                override_by_service[service] = msgspec.msgpack.decode(
+                    fact.value, type=verdicts.Override
+                )
+        self._record_by_id = record_by_id
+        self._override_by_service = override_by_service
+
+    def _news(self, kind):
+        for key, fact in self._board.facts(kind).items():
+            if fact.sequence > self._read_sequences.get((kind, key), 0):
+                self._read_sequences[kind, key] = fact.sequence
+                yield key, fact
 
     def _on_condemned(self, fact):
         condemnation = msgspec.msgpack.decode(fact.value, type=active_move.Condemnation)
@@ -210,7 +220,7 @@
     def _follow(self, document):
         open_by_service = {
             record.service: record
-            for record in self._state.records
+            for record in self._record_by_id.values()
             if record.outcome is None and record.service in document.service_by_name
         }
         active_by_service = {
@@ -278,7 +288,9 @@
         sequence = int(now.timestamp() * 1000)
         key = f"{move_id}/{self._peers.host_id}"
         value = msgspec.msgpack.encode(report)
-        self._board.publish(facts.Fact(_EVIDENCE_KIND, key, sequence, value))
+        fact = facts.Fact(_EVIDENCE_KIND, key, sequence, value)
+        if not self._board.publish(fact):
+            self._metrics.count("move_evidence_refused", move=active.record.name)
         exposed = report.exposed / max(1, report.requests)
         self._metrics.set("move_exposed_share", exposed, move=active.record.name)
 
--- a/src/peridothitch/policy/tally.py
+++ b/src/peridothitch/policy/tally.py
@@ -20,7 +20,7 @@
 )
 _LOSS_WINDOW = datetime.timedelta(seconds=10)
 _SETTLE = datetime.timedelta(seconds=1)
-_MAX_LOSSES = 64
+_MAX_LOSSES = 24
 _THRESHOLD_QUANTILE = 0.9
 _THRESHOLD_MARGIN = 1.25
 _THRESHOLD_SAMPLES = 200
