--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV ?= $(CACHE)/venv-$(LOCK)
 RUN := PYTHONPATH=src $(VENV)/bin/python
 
-.PHONY: run test check format build venv
+.PHONY: run test check format build docs venv
 
 venv: $(VENV)/.done
 
@@ -24,10 +24,15 @@
 	$(VENV)/bin/ruff check .
 	PYTHONPATH=src $(VENV)/bin/lint-imports --no-cache
 	$(RUN) tools/check_source.py
+	$(RUN) tools/write_docs.py --check
 
 format: venv
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
+	$(RUN) tools/write_docs.py
 
 build: venv
 	$(RUN) tools/build_binary.py
+
+docs: venv
+	$(RUN) tools/write_docs.py
--- a/src/peridothitch/adapters/document_file.py
+++ b/src/peridothitch/adapters/document_file.py
@@ -9,6 +9,7 @@
 
 from peridothitch import errors
 from peridothitch.policy import document as documents
+from peridothitch.policy import document_checks
 from peridothitch.ports import document_codec
 
 __all__ = [
@@ -77,19 +78,16 @@
     Raises
     ------
     peridothitch.errors.DocumentError
-        With path and line of the first fault.
+        With path and line of the first fault, and the other ones.
     """
     node = _compose(text)
+    _check_nodes(node, set())
     plain = _to_plain(text)
     _validate(plain, schema(), node)
     document = _build_document(
         {name: _convert(name, plain.get(name) or {}) for name in SECTIONS}, revision
     )
-    try:
-        documents.check_references(document)
-    except errors.DocumentError as error:
-        line = _line_of(node, error.path.split("/"))
-        raise errors.DocumentError(error.code, error.detail, error.path, line) from None
+    _raise_all(document_checks.find_faults(document, SECTIONS), node)
     return document
 
 
@@ -100,6 +98,7 @@
             errors.Code.UNKNOWN_SECTION,
             f"{name!r} is not one of {', '.join(SECTIONS)}",
         )
+    _check_nodes(_compose(text), set())
     plain = _to_plain(text)
     _validate({name: plain}, schema(), None)
     return _convert(name, plain)
@@ -186,6 +185,36 @@
         raise _syntax_error(error) from None
 
 
+def _check_nodes(node, seen):
+    """Refuse aliases, which can grow without bound, and keys given twice."""
+    if node is None:
+        return
+    if id(node) in seen:
+        raise _refusal(node, "aliases are not supported")
+    seen.add(id(node))
+    if isinstance(node, yaml.SequenceNode):
+        for item in node.value:
+            _check_nodes(item, seen)
+    if isinstance(node, yaml.MappingNode):
+        _check_mapping(node, seen)
+
+
+def _check_mapping(node, seen):
+    keys = set()
+    for key, value in node.value:
+        name = str(key.value)
+        if name in keys:
+            raise _refusal(key, f"{name} is given twice")
+        keys.add(name)
+        _check_nodes(key, seen)
+        _check_nodes(value, seen)
+
+
+def _refusal(node, detail):
+    line = node.start_mark.line + 1
+    return errors.DocumentError(errors.Code.DOCUMENT_SYNTAX, detail, line=line)
+
+
 def _syntax_error(error):
     mark = getattr(error, "problem_mark", None)
     line = mark.line + 1 if mark is not None else None
@@ -195,16 +224,30 @@
 
 def _validate(plain, rules, node):
     validator = jsonschema.Draft202012Validator(rules)
-    fault = jsonschema.exceptions.best_match(validator.iter_errors(plain))
-    if fault is None:
-        return
-    keys = [str(key) for key in fault.absolute_path]
-    raise errors.DocumentError(
-        errors.Code.DOCUMENT_SCHEMA,
-        fault.message,
-        "/".join(keys),
-        _line_of(node, keys),
+    found = sorted(
+        validator.iter_errors(plain),
+        key=lambda fault: list(map(str, fault.absolute_path)),
     )
+    _raise_all(map(_to_document_error, found), node)
+
+
+def _to_document_error(fault):
+    best = jsonschema.exceptions.best_match([fault])
+    path = "/".join(map(str, best.absolute_path))
+    return errors.DocumentError(errors.Code.DOCUMENT_SCHEMA, best.message, path)
+
+
+def _raise_all(faults, node):
+    """Raise the first fault, which carries the other ones; each gets its line."""
+    others = []
+    for fault in reversed(list(faults)):
+        line = _line_of(node, fault.path.split("/"))
+        placed = errors.DocumentError(
+            fault.code, fault.detail, fault.path, line, others
+        )
+        others = [placed, *others]
+    if others:
+        raise others[0]
 
 
 def _line_of(node, keys):
--- a/src/peridothitch/errors.py
+++ b/src/peridothitch/errors.py
@@ -187,13 +187,16 @@
         Slash-separated path of the faulty value, empty for the document.
     line : int or None
         Line number of the faulty value, counted from 1.
+    others : sequence of DocumentError
+        Further faults of the same document.
     """
 
-    def __init__(self, code, detail, path="", line=None):
+    def __init__(self, code, detail, path="", line=None, others=()):
         where = f"line {line}, /{path}: " if line is not None else ""
         super().__init__(code, where + detail)
         self.path = path
         self.line = line
+        self.faults = (self.detail, *(other.detail for other in others))
 
 
 class RequestError(CodedError):
--- a/src/peridothitch/gateway/embedded.py
+++ b/src/peridothitch/gateway/embedded.py
@@ -72,9 +72,13 @@
         IP number and port for callers.
     limits : peridothitch.adapters.wsgi_server.ServerLimits or None
         Bounds on what one caller may take.
+    exporter : opentelemetry.sdk.trace.export.SpanExporter or None
+        Where spans go.
     """
 
-    def __init__(self, text=EXAMPLE_DOCUMENT, listen=_ANY_PORT, limits=None):
+    def __init__(
+        self, text=EXAMPLE_DOCUMENT, listen=_ANY_PORT, limits=None, exporter=None
+    ):
         clock = system_clock.SystemClock()
         self.store = memory_store.MemoryStore(clock)
         self.host_list = hosts.StaticHostList()
@@ -97,7 +101,9 @@
             unready_time=datetime.timedelta(0),
             limits=limits or wsgi_server.ServerLimits(),
         )
-        self.entry_host = host.EntryHost(settings, self.store, self.host_list, clock)
+        self.entry_host = host.EntryHost(
+            settings, self.store, self.host_list, clock, exporter
+        )
 
     @property
     def port(self):
--- a/src/peridothitch/policy/document.py
+++ b/src/peridothitch/policy/document.py
@@ -9,7 +9,7 @@
 import decimal
 import enum
 
-from peridothitch import errors
+from peridothitch.policy import document_checks
 
 __all__ = [
     "Customer",
@@ -226,10 +226,6 @@
     move_by_name: dict = dataclasses.field(default_factory=dict)
 
 
-def _fail(path, detail):
-    raise errors.DocumentError(errors.Code.DOCUMENT_REFERENCE, detail, path)
-
-
 def check_references(document):
     """Check that names used in one section are defined in another.
 
@@ -242,24 +238,5 @@
     peridothitch.errors.DocumentError
         With the path of the first undefined name.
     """
-    for name, route in document.route_by_name.items():
-        if route.service not in document.service_by_name:
-            _fail(f"routes/{name}/service", f"service {route.service!r} is undefined")
-    for name, service in document.service_by_name.items():
-        if service.current not in service.versions:
-            _fail(
-                f"versions/{name}/current", f"version {service.current!r} is undefined"
-            )
-    for name, limit in document.limit_by_name.items():
-        if limit.customer not in document.customer_by_name:
-            _fail(
-                f"spending/{name}/customer", f"customer {limit.customer!r} is undefined"
-            )
-    for name, move in document.move_by_name.items():
-        service = document.service_by_name.get(move.service)
-        if service is None:
-            _fail(f"moves/{name}/service", f"service {move.service!r} is undefined")
-        if move.to_version not in service.versions:
-            _fail(
-                f"moves/{name}/to_version", f"version {move.to_version!r} is undefined"
-            )
+    for fault in document_checks.find_reference_faults(document):
+        raise fault
