Read a stream's events by what has arrived instead of line by line

Cause: http.client reads a line of a chunked body through several Python calls, three lines an event; one read a chunk does. A body of counted bytes that ended early read as whole before; the length tells now. Events are cut out of the bytes at blank lines with either line end, checked with any cutting and each framing.

--- a/src/peridothitch/adapters/http_transport.py
+++ b/src/peridothitch/adapters/http_transport.py
@@ -2,6 +2,7 @@
 
 import datetime
 import http.client
+import re
 import threading
 import time
 
@@ -15,6 +16,8 @@
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 _MAX_IDLE_AGE = datetime.timedelta(seconds=20)
 _MAX_EVENT_BYTES = 1 << 20
+_READ_BYTES = 1 << 16
+_EVENT_END = re.compile(rb"\n\r?\n")
 
 
 class _Pool:
@@ -130,36 +133,47 @@
         return body
 
     def events(self):
-        lines = []
-        while True:
-            try:
-                line = self._response.readline(_MAX_EVENT_BYTES)
-            except (OSError, http.client.HTTPException, ValueError) as error:
-                raise self._interrupted(error) from None
-            if not line:
-                break
-            lines.append(line)
-            if line == b"\n" or line == b"\r\n":
-                yield b"".join(lines)
-                lines = []
+        pending = b""
+        while piece := self._read_piece():
+            pending += piece
+            begin = 0
+            for end in _EVENT_END.finditer(pending):
+                yield pending[begin : end.end()]
+                begin = end.end()
+            pending = pending[begin:]
+            if len(pending) > _MAX_EVENT_BYTES:
+                raise self._interrupted("an event is too large")
         self._finish()
-        if lines:
-            yield b"".join(lines)
+        if pending:
+            yield pending
+
+    def _read_piece(self):
+        """Return what has arrived; one read a token, where lines would take several."""
+        try:
+            return self._response.read1(_READ_BYTES)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise self._interrupted(error) from None
 
     def cancel(self):
         if not self._finished:
             self._close()
 
     def _finish(self):
-        if not self._response.isclosed():
-            # A chunked body that was cut off reads like one that ended.
+        if not self._is_whole():
             raise self._interrupted(http.client.IncompleteRead(b""))
         self._finished = True
+        self._response.close()
         if self._response.will_close:
             self._close()
             return
         self._pool.give(self._address, self._connection)
 
+    def _is_whole(self):
+        """Return whether the body ended; one that was cut off can read like that."""
+        if self._response.length is not None:
+            return not self._response.length
+        return self._response.isclosed()
+
     def _close(self):
         self._response.close()
         self._connection.close()
