--- /dev/null
+++ b/benchmarks/rolling_restart.py
@@ -0,0 +1,115 @@
+"""Restarts seven entry hosts one after another under load and counts failures."""
+
+import collections
+import concurrent.futures
+import itertools
+import threading
+import time
+
+import click
+import entry_fleet as fleets
+import processes
+
+CHAT_TOKENS = 40
+
+
+class Load:
+    """Callers of four kinds until they are told to stop."""
+
+    def __init__(self, balancer, bulletin_tokens):
+        self._balancer = balancer
+        self._bulletin_tokens = bulletin_tokens
+        self._stop = threading.Event()
+        self._numbers = itertools.count()
+        self.counts = collections.Counter()
+        self.failures = []
+        self.keys = []
+
+    def run(self, kind):
+        """Send requests of one kind, one after another."""
+        while not self._stop.is_set():
+            key = f"{kind}-{next(self._numbers)}"
+            try:
+                fault = getattr(self, f"_{kind}")(key)
+            except Exception as error:
+                fault = repr(error)
+            self.counts[kind] += 1
+            if fault:
+                self.failures.append((key, fault))
+
+    def _bulletin(self, key):
+        answer = fleets.stream(
+            self._balancer, "/v1/bulletins", key, self._bulletin_tokens
+        )
+        self.counts["resumed bulletins"] += bool(answer.resumed)
+        return "" if answer.whole else f"bulletin not whole: {answer.problem}"
+
+    def _chat(self, key):
+        answer = fleets.stream(self._balancer, "/v1/chat/completions", key, CHAT_TOKENS)
+        return "" if answer.whole else f"chat not whole: {answer.problem}"
+
+    def _payment(self, key):
+        self.keys.append(key)
+        return self._plain("POST", "/payments", key)
+
+    def _lookup(self, key):
+        return self._plain("GET", f"/tickets/{key}", key)
+
+    def _plain(self, method, path, key):
+        time.sleep(0.02)
+        answer = processes.ask(
+            self._balancer.choose(),
+            method,
+            path,
+            {"amount": 1} if method == "POST" else None,
+            header_by_name={"idempotency-key": key},
+        )
+        return "" if answer.status == 200 else f"{answer.status} {answer.body}"
+
+    def stop(self):
+        """Let each caller end after its request."""
+        self._stop.set()
+
+
+@click.command()
+@click.option("--entries", default=7, show_default=True)
+@click.option("--callers", default=4, show_default=True, help="Of each kind.")
+@click.option("--drain-seconds", default=1.5, show_default=True)
+@click.option("--bulletin-tokens", default=800, show_default=True)
+def main(entries, callers, drain_seconds, bulletin_tokens):
+    """Print requests, failures, resumed bulletins and doubled payments."""
+    fleet = fleets.EntryFleet(entries, options=("--drain-seconds", drain_seconds))
+    try:
+        balancer = fleets.Balancer(fleet.address_by_id)
+        load = Load(balancer, bulletin_tokens)
+        pool = concurrent.futures.ThreadPoolExecutor(4 * callers)
+        kinds = ("bulletin", "chat", "payment", "lookup") * callers
+        futures = [pool.submit(load.run, kind) for kind in kinds]
+        time.sleep(2)
+        codes = []
+        for index in range(entries):
+            codes.append(fleet.stop_entry(index))
+            fleet.start_entry(index)
+            time.sleep(1)
+        load.stop()
+        concurrent.futures.wait(futures)
+        balancer.close()
+        _report(fleet, load, codes)
+    finally:
+        fleet.close()
+
+
+def _report(fleet, load, codes):
+    runs = collections.Counter()
+    for address in fleet.services.values():
+        runs.update(fleet.counts(address)["run_count_by_key"])
+    doubled = [key for key in load.keys if runs[key] > 1]
+    print(dict(load.counts))
+    print(f"exit codes {codes}")
+    print(f"{len(load.failures)} failed, {len(doubled)} payments doubled")
+    for failure in load.failures[:10]:
+        print(failure)
+
+
+if __name__ == "__main__":
+    main()
--- a/features/request_bench.py
+++ b/features/request_bench.py
@@ -84,18 +84,6 @@
             yield usage
 
 
-class _ChatPath:
-    """Serves an engine's chat path under the routes' paths too."""
-
-    def __init__(self, application):
-        self.engine = application
-
-    def __call__(self, environ, start_response):
-        if environ["PATH_INFO"] == "/v1/bulletins":
-            environ["PATH_INFO"] = "/v1/chat/completions"
-        return self.engine(environ, start_response)
-
-
 class Observer(outcomes.AttemptObserver):
     """Keeps the outcomes of all attempts."""
 
@@ -155,7 +143,7 @@
         for index, data_centre in enumerate("abc"):
             name = f"writer-{index}"
             model = engine.Engine(name, "v1", self.clock, sampled=sampled)
-            self._add_upstream(name, "writer", data_centre, _ChatPath(model))
+            self._add_upstream(name, "writer", data_centre, model)
             name = f"desk-{index}"
             self._add_upstream(name, "desk", data_centre, service.Service(name))
 
@@ -271,8 +259,8 @@
         return {
             text
             for machine in self.machine_by_id.values()
-            if hasattr(machine.application, "engine")
-            for texts in machine.application.engine.counts.texts_by_request_id.values()
+            if isinstance(machine.application, engine.Engine)
+            for texts in machine.application.counts.texts_by_request_id.values()
             for text in texts
         }
 
@@ -281,11 +269,11 @@
         key = self.request.header_by_name["idempotency-key"]
         total = 0
         for machine in self.machine_by_id.values():
-            model = getattr(machine.application, "engine", None)
-            if model is None:
-                total += machine.application.run_count(key)
+            application = machine.application
+            if isinstance(application, engine.Engine):
+                total += sum(application.counts.run_count_by_request_id.values())
             else:
-                total += sum(model.counts.run_count_by_request_id.values())
+                total += application.run_count(key)
         return total
 
 
--- a/features/steps/one_request_steps.py
+++ b/features/steps/one_request_steps.py
@@ -247,7 +247,7 @@
 def tell_leaving(context):
     bench = context.bench = _make_bench("chat")
     machine = bench.machine_by_id["writer-0"]
-    machine.application.engine.faults.leaving = True
+    machine.application.faults.leaving = True
     bench.send("entry-0")
     context.before = bench.runs()
 
@@ -255,7 +255,7 @@
 @behave.then("no entry host sends it another request")
 def check_left(context):
     bench = context.bench
-    counts = bench.machine_by_id["writer-0"].application.engine.counts
+    counts = bench.machine_by_id["writer-0"].application.counts
     before = sum(counts.run_count_by_request_id.values())
     assert before == 1
     for index in range(9):
--- a/src/peridothitch/standins/engine.py
+++ b/src/peridothitch/standins/engine.py
@@ -106,6 +106,7 @@
         """Answer one WSGI request."""
         answer_by_path = {
             "/v1/chat/completions": self._complete,
+            "/v1/bulletins": self._complete,
             "/v1/load": self._report_load,
             "/v1/kv/export": self._export,
             "/v1/kv/import": self._import,
