--- a/features/one_request.feature
+++ b/features/one_request.feature
@@ -55,3 +55,14 @@
   Scenario: Retries stay within their budget while upstreams fail
     When a third of the engines refuse connections under many requests
     Then there are at most 1.2 attempts for each request
+
+  Scenario: A long stream leaves an upstream that is reclaimed, with its KV cache
+    Given a bulletin of 400 tokens at an engine with a long prompt
+    When the engine's reclaim is listed while the stream runs
+    Then the answer is whole and the next engine imported the tokens known
+    And no token was generated twice or computed again
+
+  Scenario: A refused export costs computing time only
+    Given a bulletin of 400 tokens at an engine with a long prompt
+    When the engine's reclaim is listed while the stream runs and it refuses exports
+    Then the answer is whole and the tokens known were computed again
--- a/features/request_bench.py
+++ b/features/request_bench.py
@@ -126,6 +126,7 @@
         self.reached = []
         self.plan = list(plan)
         self.caller_left = False
+        self.refused_path = ""
         self.patience = 0
         self.kill_count = 0
         self.runs_before_return = 0
--- a/features/request_fakes.py
+++ b/features/request_fakes.py
@@ -220,6 +220,10 @@
 
     def _open(self):
         machine = self._line.machine
+        if self._call.path == self._bench.refused_path:
+            self.status, self.header_by_name = 404, {}
+            self._iterator = iter(())
+            return
         if machine.refuses or machine.failing:
             self.status = 503 if machine.refuses else 500
             self.header_by_name = {"content-type": "application/json"}
--- a/features/steps/one_request_steps.py
+++ b/features/steps/one_request_steps.py
@@ -14,9 +14,11 @@
 from peridothitch.coordination import claim_records, claims, streams
 from peridothitch.gateway import durable, keeper
 from peridothitch.policy import concurrency, retries
+from peridothitch.ports import upstream
 
 HISTORIES = 300
 REQUESTS = 60
+LONG_TOKENS = 400
 
 
 def _broken_claim(book, customer, request_id, digest, lifetime, request=None):
@@ -296,3 +298,76 @@
     assert attempts <= most * REQUESTS + 3 * retries.RetryBudget().capacity, attempts
     problems = [json.dumps(told.code) for told in context.tolds if told.code]
     assert not problems, problems
+
+
+@behave.given("a bulletin of 400 tokens at an engine with a long prompt")
+def make_long_bulletin(context):
+    bench = context.bench = _make_bench("bulletin")
+    body = json.loads(bench.request.body)
+    body["max_tokens"] = LONG_TOKENS
+    body["messages"][0]["content"] = "word " * 2000
+    bench.request = dataclasses.replace(bench.request, body=json.dumps(body).encode())
+    for machine in bench.machine_by_id.values():
+        if machine.host.service == "writer":
+            machine.application._token_gap = benches.SECOND / 20
+
+
+def _list_leaving(bench):
+    machine = bench.line.machine
+    leaving = dataclasses.replace(machine.host, state=upstream.HostState.LEAVING)
+    bench.host_list.put(leaving)
+    for view in bench.view_by_id.values():
+        view.refresh()
+
+
+@behave.when("the engine's reclaim is listed while the stream runs")
+def reclaim_engine(context):
+    bench = context.bench
+    bench.strikes = {"reclaim": _list_leaving}
+    bench.plan = [("mid-stream", "reclaim")]
+    context.told = bench.send("entry-0")
+
+
+@behave.when(
+    "the engine's reclaim is listed while the stream runs and it refuses exports"
+)
+def reclaim_without_export(context):
+    context.bench.refused_path = "/v1/kv/export"
+    reclaim_engine(context)
+
+
+def _counts(bench):
+    return [
+        machine.application.counts
+        for machine in bench.machine_by_id.values()
+        if machine.host.service == "writer"
+    ]
+
+
+def _check_whole(context):
+    caller = judge.Caller("bulletin")
+    caller.take(context.told)
+    assert caller.done, context.told
+    assert len(caller.token_by_id) == LONG_TOKENS + 2
+    assert not caller.fault_texts
+
+
+@behave.then("the answer is whole and the next engine imported the tokens known")
+def check_imported(context):
+    _check_whole(context)
+    assert sum(counts.imported_tokens for counts in _counts(context.bench)) > 0
+
+
+@behave.then("no token was generated twice or computed again")
+def check_no_waste(context):
+    counts = _counts(context.bench)
+    assert sum(each.generated_tokens for each in counts) == LONG_TOKENS, counts
+    assert sum(each.prefilled_tokens for each in counts) == 0, counts
+
+
+@behave.then("the answer is whole and the tokens known were computed again")
+def check_recomputed(context):
+    _check_whole(context)
+    counts = _counts(context.bench)
+    assert sum(each.imported_tokens for each in counts) == 0
+    assert sum(each.prefilled_tokens for each in counts) > 0
--- a/src/peridothitch/gateway/assembly.py
+++ b/src/peridothitch/gateway/assembly.py
@@ -5,6 +5,7 @@
 from peridothitch.coordination import claim_writes, claims, streams
 from peridothitch.gateway import (
     attempts,
+    cache_moves,
     dispatch,
     durable,
     handler,
@@ -111,6 +112,7 @@
             tracer=given.tracer,
             activity=activity,
         ),
+        clock=given.clock,
         metrics=given.metrics,
         tracer=given.tracer,
         activity=activity,
@@ -138,6 +140,7 @@
         leaving=leaving_board,
         limits=upstream_limits,
         budgets=limits.RetryBudgets(given.metrics),
+        mover=cache_moves.CacheMover(given.transport, given.metrics),
         clock=given.clock,
         metrics=given.metrics,
         data_centre=given.data_centre,
--- a/src/peridothitch/gateway/dispatch.py
+++ b/src/peridothitch/gateway/dispatch.py
@@ -6,7 +6,7 @@
 import threading
 
 from peridothitch import errors
-from peridothitch.policy import choice, retries
+from peridothitch.policy import cache_moves, choice, retries
 from peridothitch.policy import document as documents
 from peridothitch.ports import upstream
 
@@ -32,6 +32,7 @@
     leaving : peridothitch.gateway.leaving.LeavingBoard
     limits : peridothitch.gateway.limits.UpstreamLimits
     budgets : peridothitch.gateway.limits.RetryBudgets
+    mover : peridothitch.gateway.cache_moves.CacheMover
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
     data_centre : str
@@ -46,6 +47,7 @@
     leaving: object
     limits: object
     budgets: object
+    mover: object
     clock: object
     metrics: object
     data_centre: str
@@ -85,6 +87,8 @@
         self._rounds = 0
         self._may_have_run = False
         self._host = None
+        self._source = None
+        self._has_cache = False
         self._never = threading.Event()
         self._version = None
         self._last_error = None
@@ -111,6 +115,7 @@
         while True:
             self._host = self._next_host()
             self._attempts += 1
+            self._has_cache = self._move_cache(job)
             try:
                 attempt = self._parts.runner.open(job, self._host, self._span)
             except errors.UpstreamError as error:
@@ -119,6 +124,38 @@
             if not self._is_worth_repeating(attempt):
                 return attempt
 
+    @property
+    def has_cache(self):
+        """Whether the last attempt's upstream got the KV cache of the tokens known."""
+        return self._has_cache
+
+    def should_leave(self, remaining_tokens, token_gap):
+        """Return whether the stream should move away from its upstream now."""
+        marked = self._parts.leaving.mark([self._current()])
+        if marked[0].state is upstream.HostState.LIVE:
+            return False
+        return cache_moves.should_move(remaining_tokens, token_gap)
+
+    def _current(self):
+        listed = self._parts.view.hosts(self._job.route.service)
+        for host in listed:
+            if host.host_id == self._host.host_id:
+                return host
+        return self._host
+
+    def leave(self):
+        """Go on elsewhere, with the KV cache if that is cheaper."""
+        self._tried.add(self._host.host_id)
+        self._source = self._host
+        self._attempts -= 1
+        self._parts.metrics.count("streams_moved")
+
+    def _move_cache(self, job):
+        source, self._source = self._source, None
+        if source is None or job.resume is None:
+            return False
+        return self._parts.mover.move(job, source, self._host)
+
     def _is_worth_repeating(self, attempt):
         if attempt.status < _FAILED_STATUS:
             return False
--- a/src/peridothitch/gateway/durable.py
+++ b/src/peridothitch/gateway/durable.py
@@ -194,9 +194,14 @@
         copy = streams.StreamCopy(
             self._streams, job.customer, job.request_id, run.epoch
         )
-        new_events = relay.Relay(search, run.progress, run.usage, self._metrics).events(
-            attempt
-        )
+        new_events = relay.Relay(
+            search=search,
+            progress=run.progress,
+            usage=run.usage,
+            max_tokens=job.max_tokens,
+            clock=self._clock,
+            metrics=self._metrics,
+        ).events(attempt)
         self._streams.register(job.request_id, run)
         try:
             yield b""
--- a/src/peridothitch/gateway/handler.py
+++ b/src/peridothitch/gateway/handler.py
@@ -31,6 +31,7 @@
     once : peridothitch.gateway.keyed.OnceRequests
     durable : peridothitch.gateway.durable.DurableRequests
     keeper : peridothitch.gateway.keeper.Keeper
+    clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
     tracer : peridothitch.adapters.traces.Tracer
     activity : Activity
@@ -43,6 +44,7 @@
     once: object
     durable: object
     keeper: object
+    clock: object
     metrics: object
     tracer: object
     activity: object
@@ -116,7 +118,12 @@
         header_by_name = job.headers() | {"content-type": content_type}
         if content_type.startswith(_EVENT_STREAM):
             events = relay.Relay(
-                search, resumption.Progress(), usage, self.metrics
+                search=search,
+                progress=resumption.Progress(),
+                usage=usage,
+                max_tokens=job.max_tokens,
+                clock=self.clock,
+                metrics=self.metrics,
             ).events(attempt)
             chunks = self._pass_on(job, events)
         else:
