--- a/src/peridothitch/coordination/batches.py
+++ b/src/peridothitch/coordination/batches.py
@@ -35,39 +35,61 @@
         self._window = window
         self._max_items = max_items
         self._never = threading.Event()
-        self._queue_lock = threading.Lock()
-        self._commit_lock = threading.Lock()
+        self._lock = threading.Lock()
+        self._has_leader = False
         self._queue = []
         self._last_start = -window
 
     def submit(self, item):
         """Carry out one item with others; returns its result or raises its error."""
-        future = concurrent.futures.Future()
-        with self._queue_lock:
-            self._queue.append((item, future))
-        while not future.done():
-            with self._commit_lock:
-                if not future.done():
-                    self._commit_queued()
-        return future.result()
+        entry = _Entry(item)
+        with self._lock:
+            self._queue.append(entry)
+            leads = not self._has_leader
+            self._has_leader = True
+        if not leads:
+            entry.called.wait()
+        if not entry.future.done():
+            self._lead()
+        return entry.future.result()
 
-    def _commit_queued(self):
+    def _lead(self):
+        """Commit one batch, this thread's item included, and call the next leader."""
         pause = self._last_start + self._window - self._clock.monotonic()
         if pause > datetime.timedelta(0):
             self._clock.wait(self._never, pause)
         self._last_start = self._clock.monotonic()
-        with self._queue_lock:
+        with self._lock:
             taken = self._queue[: self._max_items]
             self._queue = self._queue[self._max_items :]
-        if taken:
+        try:
             self._carry_out(taken)
+        finally:
+            self._call_next(taken)
 
     def _carry_out(self, taken):
         try:
-            results = self._commit([item for item, _ in taken])
+            results = self._commit([entry.item for entry in taken])
         except BaseException as error:
-            for _, future in taken:
-                future.set_exception(error)
+            for entry in taken:
+                entry.future.set_exception(error)
             return
-        for (_, future), result in zip(taken, results, strict=True):
-            future.set_result(result)
+        for entry, result in zip(taken, results, strict=True):
+            entry.future.set_result(result)
+
+    def _call_next(self, taken):
+        with self._lock:
+            self._has_leader = bool(self._queue)
+            if self._has_leader:
+                self._queue[0].called.set()
+        for entry in taken:
+            entry.called.set()
+
+
+class _Entry:
+    """An item with what its thread waits for."""
+
+    def __init__(self, item):
+        self.item = item
+        self.future = concurrent.futures.Future()
+        self.called = threading.Event()
--- a/src/peridothitch/gateway/assembly.py
+++ b/src/peridothitch/gateway/assembly.py
@@ -139,6 +139,7 @@
         guard=guard,
         leaving=leaving_board,
         limits=upstream_limits,
+        health=limits.UpstreamHealth(given.clock),
         budgets=limits.RetryBudgets(given.metrics),
         mover=cache_moves.CacheMover(given.transport, given.metrics),
         clock=given.clock,
--- a/src/peridothitch/gateway/dispatch.py
+++ b/src/peridothitch/gateway/dispatch.py
@@ -17,6 +17,9 @@
 _JUDGE_WAIT = datetime.timedelta(seconds=1)
 _SUSPECT_WAIT = datetime.timedelta(milliseconds=200)
 _JUDGED_CRASHES = 2
+_BLAMELESS_CODES = frozenset(
+    {errors.Code.CONNECTION_SILENT, errors.Code.DEADLINE_EXCEEDED}
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -31,6 +34,7 @@
     guard : peridothitch.gateway.quarantine.CrashGuard
     leaving : peridothitch.gateway.leaving.LeavingBoard
     limits : peridothitch.gateway.limits.UpstreamLimits
+    health : peridothitch.gateway.limits.UpstreamHealth
     budgets : peridothitch.gateway.limits.RetryBudgets
     mover : peridothitch.gateway.cache_moves.CacheMover
     clock : peridothitch.ports.clock.Clock
@@ -46,6 +50,7 @@
     guard: object
     leaving: object
     limits: object
+    health: object
     budgets: object
     mover: object
     clock: object
@@ -121,6 +126,7 @@
             except errors.UpstreamError as error:
                 self.check(error)
                 continue
+            self._note_answer(attempt)
             if not self._is_worth_repeating(attempt):
                 return attempt
 
@@ -156,6 +162,12 @@
             return False
         return self._parts.mover.move(job, source, self._host)
 
+    def _note_answer(self, attempt):
+        if attempt.status < _FAILED_STATUS:
+            self._parts.health.note_answer(self._host.host_id)
+        else:
+            self._parts.health.note_failure(self._host.host_id)
+
     def _is_worth_repeating(self, attempt):
         if attempt.status < _FAILED_STATUS:
             return False
@@ -185,8 +197,9 @@
         """
         self._last_error = error
         self._may_have_run |= error.ran is not errors.Ran.NO
-        if error.code is not errors.Code.CONNECTION_SILENT:
+        if error.code not in _BLAMELESS_CODES:
             self._tried.add(self._host.host_id)
+            self._parts.health.note_failure(self._host.host_id)
         self._judge_crashes()
         if not retries.may_repeat(self._job.route.effect, error):
             raise self._final(error)
@@ -249,7 +262,8 @@
             tried=frozenset(self._tried),
             in_flight_by_host_id=in_flight,
         )
-        return choice.choose_host(self._apart(open_hosts), context)
+        preferred = parts.health.prefer(self._apart(open_hosts))
+        return choice.choose_host(preferred, context)
 
     def _fitting(self, hosts):
         return [
--- a/src/peridothitch/gateway/limits.py
+++ b/src/peridothitch/gateway/limits.py
@@ -2,9 +2,9 @@
 
 import threading
 
-from peridothitch.policy import concurrency, retries
+from peridothitch.policy import concurrency, health, retries
 
-__all__ = ["RetryBudgets", "UpstreamLimits"]
+__all__ = ["RetryBudgets", "UpstreamHealth", "UpstreamLimits"]
 
 
 class UpstreamLimits:
@@ -50,6 +50,43 @@
         return self._limit_by_host_id.get(host_id) or concurrency.ConcurrencyLimit()
 
 
+class UpstreamHealth:
+    """The rest that each upstream host gets after failures.
+
+    Parameters
+    ----------
+    clock : peridothitch.ports.clock.Clock
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._rest_by_host_id = {}
+
+    def note_failure(self, host_id):
+        """Learn from a failed attempt."""
+        now = self._clock.monotonic()
+        with self._lock:
+            rest = self._rest_by_host_id.get(host_id, health.Rest())
+            self._rest_by_host_id[host_id] = rest.after_failure(now)
+
+    def note_answer(self, host_id):
+        """Learn from the begin of an answer."""
+        with self._lock:
+            self._rest_by_host_id.pop(host_id, None)
+
+    def prefer(self, hosts):
+        """Return the hosts that don't rest, or all when all do."""
+        now = self._clock.monotonic()
+        with self._lock:
+            resting = {
+                host_id
+                for host_id, rest in self._rest_by_host_id.items()
+                if rest.is_on(now)
+            }
+        return [host for host in hosts if host.host_id not in resting] or hosts
+
+
 class RetryBudgets:
     """The retry budget of each route.
 
