--- a/benchmarks/reclaim.py
+++ b/benchmarks/reclaim.py
@@ -70,7 +70,7 @@
 
 
 def _run(with_reclaim, callers, tokens, seconds):
-    options = ("--drain-seconds", 4.5)
+    options = ("--drain-timeout", "4500ms")
     fleet = fleets.EntryFleet(ENTRIES, ENGINES, options, token_gap_ms=20)
     try:
         balancer = fleets.Balancer(fleet.address_by_id)
--- a/benchmarks/rolling_restart.py
+++ b/benchmarks/rolling_restart.py
@@ -78,7 +78,8 @@
 @click.option("--bulletin-tokens", default=800, show_default=True)
 def main(entries, callers, drain_seconds, bulletin_tokens):
     """Print requests, failures, resumed bulletins and doubled payments."""
-    fleet = fleets.EntryFleet(entries, options=("--drain-seconds", drain_seconds))
+    options = ("--drain-timeout", f"{1000 * drain_seconds:.0f}ms")
+    fleet = fleets.EntryFleet(entries, options=options)
     try:
         balancer = fleets.Balancer(fleet.address_by_id)
         load = Load(balancer, bulletin_tokens)
