Choose upstreams by expected cost at the latency target

Cause: the fewest own requests in progress knows neither load nor caches, and sends work to a host that only a fact names as leaving. Ruled out by trials of the queueing model: a logistic probability of missing the target (saturates, so overloaded hosts stop costing more), every host as a candidate (entry hosts with the same old reports all take the same one), anchors at a fixed number of blocks (fall into instructions that half of all requests share), and a high price of a missed target (noise in the load estimate outweighs caches).

--- /dev/null
+++ b/benchmarks/choice_time.py
@@ -0,0 +1,85 @@
+"""Processor time of one choice by number of replicas.
+
+Run ``python benchmarks/choice_time.py``.
+"""
+
+import pathlib
+import random
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
+
+from peridothitch.policy import (
+    affinity,
+    choice,
+    cost,
+    host_pool,
+    load_book,
+    selector,
+)
+from peridothitch.ports import upstream
+
+SEED = 20261204
+SIZES = (9, 90, 630)
+WARM_UP = 20_000
+MEASURED = 10_000
+CONVERSATIONS = 3000
+SECONDS_BETWEEN = 0.125
+
+
+def _pool(size):
+    return host_pool.HostPool(
+        upstream.Host(
+            host_id=f"host-{index}",
+            address="",
+            service="model",
+            version="v1",
+            data_centre=f"dc{index % 4}",
+            region=f"region{index % 2}",
+            price_per_hour=1.0 + index % 3,
+        )
+        for index in range(size)
+    )
+
+
+def _measure(size):
+    source = random.Random(SEED)
+    pool = _pool(size)
+    chooser = selector.Selector(
+        choice.Knowledge(loads=load_book.LoadBook(380)), "dc0", "region0", source
+    )
+    prefixes = [
+        affinity.make_prefix(b"i" * 2048, source.randbytes(600), b"l" * 6000, True)
+        for _ in range(CONVERSATIONS)
+    ]
+    demand = cost.Demand(prompt_tokens=2000, output_tokens=370, request_bytes=90_000)
+    now = 0.0
+    spent_ns = 0
+    for index in range(WARM_UP + MEASURED):
+        now += SECONDS_BETWEEN
+        prefix = prefixes[index % CONVERSATIONS]
+        need = selector.Need(version="v1", prefix=prefix, demand=demand)
+        started_ns = time.thread_time_ns()
+        decision = chooser.choose(pool, need, now)
+        if index >= WARM_UP:
+            spent_ns += time.thread_time_ns() - started_ns
+        host_id = decision.host.host_id
+        chooser.prepare(index, decision, need)
+        chooser.start(index, host_id, now)
+        report = load_book.LoadReport(source.randrange(90), source.randrange(2000))
+        chooser.note_report(host_id, report, now)
+        chooser.end(host_id)
+        chooser.forget(index)
+    return spent_ns / MEASURED / 1000.0
+
+
+def main():
+    """Print microseconds of processor time for each size."""
+    print(f"seed {SEED}")
+    for size in SIZES:
+        print(f"{size} replicas: {_measure(size):.0f} µs a choice", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/fleet_run.py
@@ -0,0 +1,235 @@
+"""Runs one deployment under one strategy."""
+
+import dataclasses
+import functools
+import random
+
+import queueing
+import strategies
+import workloads
+
+from peridothitch.policy import cost, host_pool
+from peridothitch.ports import upstream
+
+TARGETS = cost.Targets()
+PRICES = cost.Prices()
+POLL_SECONDS = 0.5
+POLL_LAG_SECONDS = 0.5
+SHARE_LAG_SECONDS = 1.0
+EVENT_LOSS = 0.1
+NOTICE_SECONDS = 30.0
+HOST_LIST_LAG_SECONDS = 2.0
+WARM_UP_SECONDS = 30.0
+BUSY_SHARE = 0.8
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Result:
+    """What a run gave."""
+
+    request_count: int
+    share_within: float
+    cost_per_1000: float
+    recomputed_per_request: float
+    cached_share: float
+
+
+class FleetRun:
+    """Replicas, entry hosts and callers on one agenda."""
+
+    def __init__(self, deployment, strategy_name, rate, seconds, seed, reclaim):
+        self.deployment = deployment
+        self.seconds = seconds
+        self.agenda = queueing.Agenda()
+        self.source = random.Random(f"{seed}-network")
+        drawn = random.Random(f"{seed}-{deployment.name}")
+        self.requests = workloads.draw(deployment, drawn, rate, seconds)
+        self.replica_by_id = {
+            host.host_id: queueing.Replica(host) for host in deployment.hosts()
+        }
+        self.entries = [
+            strategies.STRATEGY_BY_NAME[strategy_name](
+                deployment, index, random.Random(f"{seed}-{index}")
+            )
+            for index in range(deployment.entry_hosts)
+        ]
+        self.listed = None
+        self._publish_hosts()
+        self.band_by_host_id = {}
+        self.position_by_poll = {}
+        self.computed = set()
+        self.recomputed = 0
+        self.cached_tokens = 0
+        self.paid_bytes = 0
+        self.host_seconds = 0.0
+        self.reclaim = reclaim
+
+    def run(self):
+        for request in self.requests:
+            self.agenda.at(request.arrival, self._dispatch, request, frozenset())
+        for index in range(len(self.entries)):
+            offset = POLL_SECONDS * index / len(self.entries)
+            self.agenda.at(offset, self._poll, index, 0)
+        if self.reclaim:
+            self.agenda.at(self.seconds / 3, self._notice)
+        self.agenda.run(self.seconds + 60.0)
+        return self._result()
+
+    def _publish_hosts(self):
+        hosts = [replica.host for replica in self.replica_by_id.values()]
+        self.listed = host_pool.HostPool(hosts, self.listed)
+        self.live = [host for host in hosts if host.state is upstream.HostState.LIVE]
+
+    def _dispatch(self, request, tried):
+        now = self.agenda.now
+        entry = self.entries[request.entry % len(self.entries)]
+        usable = [host for host in self.live if host.host_id not in tried]
+        wants_pool = isinstance(entry, strategies.ExpectedCost)
+        host = entry.choose(self.listed if wants_pool else usable, request, tried, now)
+        replica = self.replica_by_id[host.host_id]
+        request.attempts += 1
+        request.started = now
+        entry.note_start(host, request, now)
+        if not replica.alive:
+            entry.note_end(host, request, now)
+            self._dispatch(request, tried | {host.host_id})
+            return
+        trip = queueing.NEAR_ROUND_TRIP_SECONDS
+        if host.region != entry.region:
+            trip = queueing.REGION_ROUND_TRIP_SECONDS
+            self.paid_bytes += request.byte_count()
+        replica.in_flight.add(id(request))
+        ready, cached = replica.compute(request, now + trip / 2)
+        self._count_blocks(request, cached)
+        action = functools.partial(self._first_token, request, replica, entry, cached)
+        self.agenda.at(ready + trip / 2, action, request.attempts)
+
+    def _count_blocks(self, request, cached):
+        self.cached_tokens += cached * queueing.TOKENS_PER_BLOCK
+        again = sum(block in self.computed for block in request.blocks[cached:])
+        self.recomputed += again * queueing.TOKENS_PER_BLOCK
+        self.computed.update(request.blocks)
+
+    def _first_token(self, request, replica, entry, cached, attempt):
+        if attempt != request.attempts:
+            return
+        now = self.agenda.now
+        replica.running += 1
+        gap = replica.gap(now)
+        if not request.first_token:
+            request.first_token = now + gap
+            request.left = request.output_tokens
+        report = replica.report(now)
+        entry.note_first_token(replica.host, request, report, cached, now)
+        self._share(replica, report)
+        self._decode(request, replica, entry, attempt)
+
+    def _decode(self, request, replica, entry, attempt):
+        if attempt != request.attempts:
+            return
+        if request.left <= 0:
+            self._finish(request, replica, entry)
+            return
+        tokens = min(queueing.CHUNK_TOKENS, request.left)
+        request.left -= tokens
+        later = self.agenda.now + tokens * replica.gap(self.agenda.now)
+        self.agenda.at(later, self._decode, request, replica, entry, attempt)
+
+    def _finish(self, request, replica, entry):
+        request.ended = self.agenda.now
+        replica.running -= 1
+        replica.in_flight.discard(id(request))
+        entry.note_end(replica.host, request, self.agenda.now)
+
+    def _share(self, replica, report):
+        band = report.running / queueing.PROFILE.slots >= BUSY_SHARE
+        host_id = replica.host.host_id
+        if self.band_by_host_id.get(host_id, False) == band:
+            return
+        self.band_by_host_id[host_id] = band
+        when = self.agenda.now
+        self.agenda.at(when + SHARE_LAG_SECONDS, self._spread, host_id, report, when)
+
+    def _spread(self, host_id, report, when):
+        for entry in self.entries:
+            entry.note_report(host_id, report, when)
+
+    def _poll(self, index, turn):
+        now = self.agenda.now
+        if now > self.seconds:
+            return
+        replicas = list(self.replica_by_id.values())
+        replica = replicas[(index * 7919 + turn) % len(replicas)]
+        if replica.alive:
+            position = self.position_by_poll.get((index, turn % len(replicas)), 0)
+            lost = self.source.random() < EVENT_LOSS
+            events = () if lost else tuple(replica.events[position:])
+            self.position_by_poll[index, turn % len(replicas)] = len(replica.events)
+            report = replica.report(now)
+            self.agenda.at(
+                now + POLL_LAG_SECONDS, self._learn, index, replica, report, events, now
+            )
+        self.agenda.at(now + POLL_SECONDS, self._poll, index, turn + 1)
+
+    def _learn(self, index, replica, report, events, when):
+        self.entries[index].note_report(replica.host.host_id, report, when)
+        self.entries[index].note_events(replica.host.host_id, events, when)
+        self._share(replica, report)
+
+    def _notice(self):
+        centre = list(self.deployment.regions)[0]
+        self.reclaimed = [
+            replica
+            for replica in self.replica_by_id.values()
+            if replica.host.data_centre == centre and replica.host.reclaimable
+        ]
+        self.agenda.at(self.agenda.now + HOST_LIST_LAG_SECONDS, self._list_leaving)
+        self.agenda.at(self.agenda.now + NOTICE_SECONDS, self._take_back)
+
+    def _list_leaving(self):
+        for replica in self.reclaimed:
+            replica.host = dataclasses.replace(
+                replica.host, state=upstream.HostState.LEAVING
+            )
+            for entry in self.entries:
+                if isinstance(entry, strategies.ExpectedCost):
+                    reclaims = entry.selector.knowledge.reclaims
+                    reclaims.note(replica.host, self.agenda.now)
+        self._publish_hosts()
+
+    def _take_back(self):
+        request_by_id = {id(request): request for request in self.requests}
+        for replica in self.reclaimed:
+            replica.alive = False
+            replica.events.clear()
+            for request_id in replica.in_flight:
+                request = request_by_id[request_id]
+                entry = self.entries[request.entry % len(self.entries)]
+                entry.note_end(replica.host, request, self.agenda.now)
+                made = request.output_tokens - request.left
+                self.recomputed += made if request.first_token else 0
+                request.attempts += 1
+                self._dispatch(request, frozenset({replica.host.host_id}))
+
+    def _result(self):
+        counted = [
+            request for request in self.requests if request.arrival >= WARM_UP_SECONDS
+        ]
+        within = sum(request.is_within(TARGETS) for request in counted)
+        paid_seconds = self.seconds
+        host_cost = 0.0
+        for replica in self.replica_by_id.values():
+            seconds = paid_seconds
+            if not replica.alive:
+                seconds = self.seconds / 3 + NOTICE_SECONDS
+            host_cost += replica.host.price_per_hour * seconds / 3600.0
+        traffic = self.paid_bytes / 1e9 * PRICES.per_gigabyte_between_regions
+        count = len(self.requests)
+        prompt = sum(request.prompt_tokens for request in self.requests)
+        return Result(
+            request_count=count,
+            share_within=within / max(1, len(counted)),
+            cost_per_1000=(host_cost + traffic) / count * 1000,
+            recomputed_per_request=self.recomputed / count,
+            cached_share=self.cached_tokens / prompt,
+        )
--- /dev/null
+++ b/benchmarks/strategies.py
@@ -0,0 +1,171 @@
+"""The choice that entry hosts make, and the baselines that it is measured with."""
+
+import abc
+
+import queueing
+
+from peridothitch.policy import affinity, cache_book, choice, load_book, selector
+
+
+class Strategy(abc.ABC):
+    """One entry host's way to choose."""
+
+    def __init__(self, deployment, index, source):
+        centres = list(deployment.regions)
+        self.data_centre = centres[index % len(centres)]
+        self.region = deployment.regions[self.data_centre]
+        self.entry_hosts = deployment.entry_hosts
+        self.source = source
+
+    @abc.abstractmethod
+    def choose(self, hosts, request, tried, now):
+        """Return the host of an attempt."""
+
+    def note_start(self, host, request, now):
+        """Learn that an attempt starts."""
+
+    def note_first_token(self, host, request, report, cached, now):
+        """Learn from the reply's first token and headers."""
+
+    def note_end(self, host, request, now):
+        """Learn that an attempt ended."""
+
+    def note_report(self, host_id, report, now):
+        """Learn from a report that was shared or polled."""
+
+    def note_events(self, host_id, events, now):
+        """Learn from cache events."""
+
+
+class RandomChoice(Strategy):
+    """Any host."""
+
+    def choose(self, hosts, request, tried, now):
+        return self.source.choice(hosts)
+
+
+class RoundRobin(Strategy):
+    """One host after another."""
+
+    def __init__(self, deployment, index, source):
+        super().__init__(deployment, index, source)
+        self._turn = source.randrange(1 << 16)
+
+    def choose(self, hosts, request, tried, now):
+        self._turn += 1
+        return hosts[self._turn % len(hosts)]
+
+
+class LeastLoaded(Strategy):
+    """The fewest requests by the same load estimate that the cost choice uses."""
+
+    def __init__(self, deployment, index, source):
+        super().__init__(deployment, index, source)
+        self.loads = load_book.LoadBook(self.entry_hosts)
+
+    def choose(self, hosts, request, tried, now):
+        return min(self._shuffled(hosts), key=lambda host: self._rank(host, now))
+
+    def _shuffled(self, hosts):
+        start = self.source.randrange(len(hosts))
+        return hosts[start:] + hosts[:start]
+
+    def _rank(self, host, now):
+        rate = queueing.PROFILE.prefill_tokens_per_second
+        return self.loads.estimate(host.host_id, now, rate).running
+
+    def note_start(self, host, request, now):
+        rate = queueing.PROFILE.prefill_tokens_per_second
+        self.loads.note_start(host.host_id, request.prompt_tokens, now, rate)
+
+    def note_first_token(self, host, request, report, cached, now):
+        self.loads.note_report(host.host_id, report, now)
+
+    def note_end(self, host, request, now):
+        self.loads.note_end(host.host_id)
+
+    def note_report(self, host_id, report, now):
+        self.loads.note_report(host_id, report, now)
+
+
+class Nearest(LeastLoaded):
+    """The least loaded host of the nearest data centre."""
+
+    def _rank(self, host, now):
+        far = host.data_centre != self.data_centre
+        return far, host.region != self.region, super()._rank(host, now)
+
+
+class ExpectedCost(Strategy):
+    """The selector of the entry hosts."""
+
+    prefix = True
+
+    def __init__(self, deployment, index, source):
+        super().__init__(deployment, index, source)
+        knowledge = choice.Knowledge(
+            loads=load_book.LoadBook(self.entry_hosts),
+            caches=cache_book.CacheBook(),
+            profile_by_machine_class={"standard": queueing.PROFILE},
+        )
+        self.selector = selector.Selector(
+            knowledge, self.data_centre, self.region, source
+        )
+        self._output_by_priority = {}
+        self._decision_by_request = {}
+
+    def choose(self, pool, request, tried, now):
+        expected = self._output_by_priority.get(request.priority, 200.0)
+        need = selector.Need(
+            version="v1",
+            prefix=request.prefix if self.prefix else affinity.NO_PREFIX,
+            demand=request.demand(expected, now),
+            tried=tried,
+        )
+        decision = self.selector.choose(pool, need, now)
+        self._decision_by_request[id(request)] = decision, need
+        return decision.host
+
+    def note_start(self, host, request, now):
+        decision, need = self._decision_by_request.pop(id(request))
+        self.selector.prepare(id(request), decision, need)
+        self.selector.start(id(request), host.host_id, now)
+
+    def note_first_token(self, host, request, report, cached, now):
+        self.selector.note_report(host.host_id, report, now)
+        self.selector.note_first_token(id(request), now - request.started, now)
+        tokens = cached * queueing.TOKENS_PER_BLOCK
+        self.selector.note_cached(id(request), tokens, now)
+
+    def note_end(self, host, request, now):
+        self.selector.end(host.host_id)
+        if request.ended and request.output_tokens > 8:
+            gap = (request.ended - request.first_token) / request.output_tokens
+            self.selector.note_gap(id(request), gap, now)
+        self.selector.forget(id(request))
+        known = self._output_by_priority.get(request.priority, 200.0)
+        known += 0.05 * (request.output_tokens - known)
+        self._output_by_priority[request.priority] = known
+
+    def note_report(self, host_id, report, now):
+        self.selector.note_report(host_id, report, now)
+
+    def note_events(self, host_id, events, now):
+        self.selector.knowledge.caches.note_events(host_id, events, now)
+
+
+class CostWithoutPrefix(ExpectedCost):
+    """The selector without knowledge of prefixes."""
+
+    prefix = False
+
+
+STRATEGY_BY_NAME = {
+    "random": RandomChoice,
+    "round robin": RoundRobin,
+    "least loaded": LeastLoaded,
+    "nearest": Nearest,
+    "expected cost": ExpectedCost,
+    "cost, no prefix": CostWithoutPrefix,
+}
+BASELINES = ("random", "round robin", "least loaded", "nearest")
--- a/src/peridothitch/cli/standin.py
+++ b/src/peridothitch/cli/standin.py
@@ -75,7 +75,8 @@
         datetime.timedelta(milliseconds=token_gap_ms),
     )
     application.faults.crash = _end_process
-    processes.serve_application(application, listen, _announce)
+    reporting_engine = reporting.ReportingEngine(application, model_version)
+    processes.serve_application(reporting_engine, listen, _announce)
 
 
 @standin.command(cls=settings.SettingsCommand)
--- a/src/peridothitch/gateway/attempts.py
+++ b/src/peridothitch/gateway/attempts.py
@@ -181,13 +181,14 @@
         return attempt
 
     def _send(self, job, host, span, scope):
-        scope.enter_context(self._view.track(host.host_id))
+        scope.enter_context(self._view.track(host.host_id, job.request_id))
         scope.enter_context(self._guard.track(job.digest, host.host_id))
         hop = scope.enter_context(
             self._tracer.span("attempt", parent=span, host=host.host_id)
         )
         exchange = self._transport.open(host, self._call(job, hop))
         scope.callback(exchange.cancel)
+        self._view.note_headers(job.request_id, host, exchange.header_by_name)
         return exchange
 
     def _call(self, job, hop):
--- a/src/peridothitch/gateway/dispatch.py
+++ b/src/peridothitch/gateway/dispatch.py
@@ -6,7 +6,7 @@
 import threading
 
 from peridothitch import errors
-from peridothitch.policy import cache_moves, choice, retries
+from peridothitch.policy import cache_moves, retries
 from peridothitch.policy import document as documents
 from peridothitch.ports import upstream
 
@@ -256,14 +256,14 @@
         ]
         if hosts and not open_hosts and not self._durable:
             raise self._shed()
-        context = choice.ChoiceContext(
-            version=self._version,
-            data_centre=parts.data_centre,
-            tried=frozenset(self._tried),
-            in_flight_by_host_id=in_flight,
-        )
         preferred = parts.health.prefer(self._apart(open_hosts))
-        return choice.choose_host(preferred, context)
+        allowed = {host.host_id for host in preferred}
+        excluded = {host.host_id for host in hosts} - allowed
+        decision = parts.view.choose(job, self._version, self._tried | excluded)
+        if decision is None:
+            return None
+        self._span.set_attribute("choice", decision.explain())
+        return decision.host
 
     def _fitting(self, hosts):
         return [
--- a/src/peridothitch/gateway/embedded.py
+++ b/src/peridothitch/gateway/embedded.py
@@ -11,7 +11,7 @@
 from peridothitch.coordination import documents
 from peridothitch.gateway import customers, host
 from peridothitch.ports import upstream
-from peridothitch.standins import engine, hosts, service
+from peridothitch.standins import engine, hosts, reporting, service
 
 __all__ = ["EXAMPLE_DOCUMENT", "EXAMPLE_KEY", "EmbeddedSystem"]
 
@@ -79,7 +79,9 @@
         self.store = memory_store.MemoryStore(clock)
         self.host_list = hosts.StaticHostList()
         self.engine_by_id = {
-            f"engine-{index}": engine.Engine(f"engine-{index}", "v1", clock)
+            f"engine-{index}": reporting.ReportingEngine(
+                engine.Engine(f"engine-{index}", "v1", clock), "v1"
+            )
             for index in range(_ENGINE_COUNT)
         }
         self.service_by_id = {
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -30,7 +30,7 @@
     loops,
     moves,
     peer_links,
-    upstreams,
+    upstream_links,
     versions,
 )
 
@@ -106,7 +106,10 @@
             clock,
             self.metrics,
         )
-        self._view = upstreams.UpstreamView(host_list, clock, self.metrics)
+        self._upstreams = upstream_links.UpstreamLink(
+            settings, host_list, self.fleet, clock, self.metrics
+        )
+        self._view = self._upstreams.view
         self._documents = document_links.DocumentLink(
             service, self.fleet, self._view, clock, self.metrics
         )
@@ -134,7 +137,7 @@
                 admission=gate,
                 version_picker=versions.VersionPicker(self.moves),
                 settlers=(gate,),
-                observers=(self.moves,),
+                observers=(self.moves, self._view),
                 executor=self._requests,
                 data_centre=settings.data_centre,
             )
@@ -211,7 +214,7 @@
         """Return what runs in the background until the host stops."""
         return (
             *self._documents.loops(),
-            self._view.run,
+            *self._upstreams.loops(self.feed),
             self.book.run,
             self._usage.run,
             self.moves.run,
--- /dev/null
+++ b/src/peridothitch/gateway/needs.py
@@ -0,0 +1,97 @@
+"""Estimates what a request will need from its body and from earlier requests."""
+
+import msgspec
+
+from peridothitch.policy import affinity, cost, selector
+
+__all__ = ["NeedEstimator", "prefix_of"]
+
+_BYTES_PER_TOKEN = 4.0
+_BYTES_PER_OUTPUT_TOKEN = 200.0
+_DEFAULT_OUTPUT_TOKENS = 200.0
+_SMOOTHING = 0.05
+_USER = "user"
+_ASSISTANT = "assistant"
+
+
+class NeedEstimator:
+    """Learns the tokens that each route's answers have."""
+
+    def __init__(self):
+        self._output_tokens_by_route = {}
+
+    def estimate(self, job, version, tried, now):
+        """Return the `Need` of an attempt.
+
+        Parameters
+        ----------
+        job : peridothitch.gateway.jobs.Job
+        version : str
+        tried : iterable of str
+        now : datetime.timedelta
+            Monotonic time.
+        """
+        prefix = affinity.NO_PREFIX
+        prompt_bytes = 0
+        adapter = ""
+        output_tokens = 0.0
+        if job.chat is not None:
+            adapter = _adapter(job, version)
+            prefix = prefix_of(job.chat["messages"], f"{version}/{adapter}")
+            prompt_bytes = len(job.request.body)
+            output_tokens = self._output_tokens(job)
+        demand = cost.Demand(
+            prompt_tokens=prompt_bytes / _BYTES_PER_TOKEN,
+            output_tokens=output_tokens,
+            request_bytes=len(job.request.body)
+            + output_tokens * _BYTES_PER_OUTPUT_TOKEN,
+            priority=job.route.priority,
+            remaining=job.deadline - now,
+        )
+        return selector.Need(
+            version=version,
+            adapter=adapter,
+            prefix=prefix,
+            demand=demand,
+            tried=frozenset(tried),
+        )
+
+    def observe(self, outcome):
+        """Learn from an `AttemptOutcome`."""
+        if outcome.code is not None or not outcome.token_count:
+            return
+        known = self._output_tokens_by_route.get(outcome.route, _DEFAULT_OUTPUT_TOKENS)
+        known += _SMOOTHING * (outcome.token_count - known)
+        self._output_tokens_by_route[outcome.route] = known
+
+    def _output_tokens(self, job):
+        known = self._output_tokens_by_route.get(job.match.name, _DEFAULT_OUTPUT_TOKENS)
+        limit = job.chat.get("max_tokens")
+        if isinstance(limit, int) and limit > 0:
+            return min(known, float(limit))
+        return known
+
+
+def _adapter(job, version):
+    model = job.chat.get("model")
+    known = job.service.versions.get(version)
+    if known is None or not isinstance(model, str):
+        return ""
+    return model if model in known.adapters else ""
+
+
+def prefix_of(chat_messages, salt):
+    """Return the `Prefix` of a list of chat messages."""
+    roles = [
+        message.get("role") if isinstance(message, dict) else None
+        for message in chat_messages
+    ]
+    first = roles.index(_USER) if _USER in roles else len(roles) - 1
+    encode = msgspec.json.encode
+    return affinity.make_prefix(
+        b"".join(map(encode, chat_messages[:first])),
+        b"".join(map(encode, chat_messages[first : first + 1])),
+        b"".join(map(encode, chat_messages[first + 1 :])),
+        continued=_ASSISTANT in roles,
+        salt=salt,
+    )
--- a/src/peridothitch/policy/choice.py
+++ b/src/peridothitch/policy/choice.py
@@ -1,10 +1,82 @@
-"""Chooses the upstream host for one attempt of a request."""
+"""Chooses the upstream host for one attempt of a request.
+
+The choice is the candidate with the lowest expected cost, latency included. In a small
+group every host is a candidate; in a large one these are the owners and believed
+holders of the prompt's prefix and a few hosts drawn at random.
+"""
 
 import dataclasses
+import math
+import random
+
+import msgspec
+
+from peridothitch.policy import (
+    affinity,
+    cache_book,
+    cost,
+    host_pool,
+    load_book,
+    reclaim,
+)
 
-from peridothitch.ports import upstream
+__all__ = [
+    "TOKENS_PER_BLOCK",
+    "ChoiceContext",
+    "Decision",
+    "Knowledge",
+    "choose",
+    "choose_host",
+]
 
-__all__ = ["ChoiceContext", "choose_host"]
+_ALL_BELOW = 4
+_RANDOM_CANDIDATES = 2
+_SCARCE_SHARE = 0.6
+_LOAD_BOUND = 1.25
+_FREE_SHARE = 0.5
+_OWNER_BELIEF = 0.7
+_REUSE_BELIEF = 0.3
+TOKENS_PER_BLOCK = 128
+_DEFAULT_PROFILE = load_book.Profile()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Knowledge:
+    """What this entry host knows of its upstreams; the books change over time.
+
+    Attributes
+    ----------
+    loads : peridothitch.policy.load_book.LoadBook
+    caches : peridothitch.policy.cache_book.CacheBook
+    reclaims : peridothitch.policy.reclaim.ReclaimBook
+    profile_by_machine_class : dict of str to peridothitch.policy.load_book.Profile
+    prices : peridothitch.policy.cost.Prices
+    targets : peridothitch.policy.cost.Targets
+    """
+
+    loads: load_book.LoadBook = dataclasses.field(default_factory=load_book.LoadBook)
+    caches: cache_book.CacheBook = dataclasses.field(
+        default_factory=cache_book.CacheBook
+    )
+    reclaims: reclaim.ReclaimBook = dataclasses.field(
+        default_factory=reclaim.ReclaimBook
+    )
+    profile_by_machine_class: dict = dataclasses.field(default_factory=dict)
+    prices: cost.Prices = cost.Prices()
+    targets: cost.Targets = cost.Targets()
+
+    def profile(self, host):
+        """Return the `Profile` of a host's machine class."""
+        return self.profile_by_machine_class.get(host.machine_class, _DEFAULT_PROFILE)
+
+    def load(self, host, now):
+        """Return the estimated `HostLoad` of a host."""
+        rate = self.profile(host).prefill_tokens_per_second
+        return self.loads.estimate(host.host_id, now, rate)
+
+    def share(self, host, now):
+        """Return a host's estimated load per slot."""
+        return self.load(host, now).running / self.profile(host).slots
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -15,45 +87,273 @@
     ----------
     version : str
         Version that the request goes to.
-    data_centre : str
+    adapter : str
+        Adapter that the host must have loaded; empty for none.
+    data_centre, region : str
         Where this entry host is.
     tried : frozenset of str
         Host ids that earlier attempts of the request used.
+    leaving : frozenset of str
+        Host ids known to be leaving while the host list still has them as live.
     in_flight_by_host_id : dict of str to int
-        Requests in progress from this entry host.
+        Requests in progress from this entry host; used without `knowledge`.
+    prefix : peridothitch.policy.affinity.Prefix
+    demand : peridothitch.policy.cost.Demand
+    now : float
+        Monotonic time in seconds.
+    knowledge : Knowledge or None
+    random_source : random.Random
     """
 
     version: str
+    adapter: str = ""
     data_centre: str = ""
+    region: str = ""
     tried: frozenset = frozenset()
+    leaving: frozenset = frozenset()
     in_flight_by_host_id: dict = dataclasses.field(default_factory=dict)
+    prefix: affinity.Prefix = affinity.NO_PREFIX
+    demand: cost.Demand = cost.Demand()
+    now: float = 0.0
+    knowledge: Knowledge | None = None
+    random_source: random.Random = dataclasses.field(default_factory=random.Random)
+
+
+class Decision(msgspec.Struct, frozen=True, kw_only=True):
+    """A chosen host and why.
+
+    Attributes
+    ----------
+    host : peridothitch.ports.upstream.Host
+    reason : str
+        ``prefix``, ``cost``, ``load`` or ``only``.
+    cost : peridothitch.policy.cost.Cost
+    cached_tokens : float
+        Prompt tokens believed cached at the host.
+    candidate_count : int
+        Hosts that were compared.
+    """
+
+    host: object
+    reason: str
+    cost: cost.Cost
+    cached_tokens: float
+    candidate_count: int
+
+    def explain(self):
+        """Return the decision as one line for traces."""
+        parts = self.cost
+        return (
+            f"{self.reason}: of {self.candidate_count}"
+            f" first_token={parts.first_token_seconds:.3f}s"
+            f" gap={parts.gap_seconds * 1000:.1f}ms"
+            f" cached={self.cached_tokens:.0f}"
+            f" compute={parts.compute:.2e} traffic={parts.traffic:.2e}"
+            f" reclaim={parts.reclaim:.2e} latency={parts.latency:.2e}"
+        )
 
 
 def choose_host(hosts, context):
-    """Return the live host with the fewest requests in progress.
+    """Return the host of `choose`'s decision, None when no host is left."""
+    decision = choose(hosts, context)
+    return decision.host if decision is not None else None
+
+
+def choose(hosts, context):
+    """Choose a live host that runs the version and has the adapter.
+
+    A leaving or tried host is never chosen, nor one over the load bound.
 
     Parameters
     ----------
-    hosts : iterable of peridothitch.ports.upstream.Host
+    hosts : peridothitch.policy.host_pool.HostPool or iterable of Host
     context : ChoiceContext
 
     Returns
     -------
-    peridothitch.ports.upstream.Host or None
+    Decision or None
         None when no host is left.
     """
-    candidates = [
-        host
-        for host in hosts
-        if host.state is upstream.HostState.LIVE
-        and host.version == context.version
-        and host.host_id not in context.tried
-    ]
-    if not candidates:
-        return None
-
-    def rank(host):
-        load = context.in_flight_by_host_id.get(host.host_id, 0)
-        return load, host.data_centre != context.data_centre, host.host_id
-
-    return min(candidates, key=rank)
+    pool = hosts
+    if not isinstance(pool, host_pool.HostPool):
+        pool = host_pool.HostPool(hosts)
+    group = pool.group(context.version, context.adapter)
+    return _Chooser(group, context).decide()
+
+
+def _knowledge_of(context):
+    if context.knowledge is not None:
+        return context.knowledge
+    knowledge = Knowledge()
+    for host_id, count in context.in_flight_by_host_id.items():
+        knowledge.loads.note_report(host_id, load_book.LoadReport(count), context.now)
+    return knowledge
+
+
+class _Chooser:
+    def __init__(self, group, context):
+        self._group = group
+        self._context = context
+        self._knowledge = _knowledge_of(context)
+        self._mean_share = group.mean_share(self._share, context.now)
+        prefix = context.prefix
+        self._owners = self._find_owners(prefix.conversation_key)
+        self._shared_owners = self._find_owners(prefix.shared_key)[:1]
+        self._reclaim_rate_by_data_centre = {}
+
+    def decide(self):
+        small = len(self._group.hosts) <= _ALL_BELOW
+        candidates = self._group.hosts if small else self._sample()
+        usable = [host for host in candidates if self._may_use(host)]
+        within = self._within_bound(usable)
+        if not within and not small:
+            usable = [host for host in self._group.hosts if self._may_use(host)]
+            within = self._within_bound(usable)
+        if within:
+            return self._cheapest(within, len(within) < len(usable))
+        if not usable:
+            return None
+        # Those within the bound are excluded; the least loaded of the others is left.
+        least = min(usable, key=self._share)
+        load = self._knowledge.load(least, self._context.now)
+        return self._cheapest([(least, load)], bounded=True)
+
+    def _may_use(self, host):
+        host_id = host.host_id
+        return host_id not in self._context.tried and (
+            host_id not in self._context.leaving
+        )
+
+    def _share(self, host):
+        return self._knowledge.share(host, self._context.now)
+
+    def _within_bound(self, hosts):
+        bound = max(_FREE_SHARE, _LOAD_BOUND * self._mean_share)
+        knowledge = self._knowledge
+        now = self._context.now
+        loaded = [(host, knowledge.load(host, now)) for host in hosts]
+        return [
+            (host, load)
+            for host, load in loaded
+            if load.running <= bound * knowledge.profile(host).slots
+        ]
+
+    def _find_owners(self, key):
+        if not key or not self._context.prefix.blocks:
+            return ()
+        return self._group.owners.owners(key)
+
+    def _sample(self):
+        group = self._group
+        host_ids = dict.fromkeys(self._owners[:1] + self._shared_owners)
+        blocks = self._context.prefix.blocks
+        if blocks:
+            holders = self._knowledge.caches.holders(blocks)
+            host_ids |= dict.fromkeys(holders)
+        picked = self._context.random_source.sample(group.hosts, _RANDOM_CANDIDATES)
+        host_ids |= dict.fromkeys(host.host_id for host in picked)
+        found = map(group.host_by_id.get, host_ids)
+        return [host for host in found if host is not None]
+
+    def _cheapest(self, loaded, bounded):
+        cached_by_host_id = self._cached_by_host_id(loaded)
+        start = self._context.random_source.randrange(len(loaded))
+        best = None
+        least = math.inf
+        # Starting anywhere keeps equal hosts from all being chosen by name.
+        for host, load in loaded[start:] + loaded[:start]:
+            cached = cached_by_host_id.get(host.host_id, 0.0)
+            estimate = self._estimate(host, load, cached)
+            total = estimate.total
+            if total < least:
+                least = total
+                best = host, estimate, cached
+        host, estimate, cached = best
+        return Decision(
+            host=host,
+            reason=_reason(len(loaded), bounded, cached),
+            cost=estimate,
+            cached_tokens=cached,
+            candidate_count=len(loaded),
+        )
+
+    def _estimate(self, host, load, cached):
+        context = self._context
+        knowledge = self._knowledge
+        return cost.estimate_cost(
+            price_per_hour=self._price(host),
+            mean_price_per_hour=self._group.mean_price_per_hour,
+            load=load,
+            profile=knowledge.profile(host),
+            cached_tokens=cached,
+            demand=context.demand,
+            near=_is_near(host, context),
+            reclaim_rate=self._reclaim_rate(host),
+            prices=knowledge.prices,
+            targets=knowledge.targets,
+            reusable_tokens=self._reusable_tokens(host),
+        )
+
+    def _price(self, host):
+        """Return the price that a host's time is reckoned at.
+
+        Prices count while there is room, since hosts left idle are given back. When
+        all hosts are needed their prices are due anyhow and any second is worth the
+        same.
+        """
+        mean = self._group.mean_price_per_hour
+        price = host.price_per_hour or mean
+        room = max(0.0, 1.0 - self._mean_share / _SCARCE_SHARE)
+        return mean + (price - mean) * room
+
+    def _reclaim_rate(self, host):
+        if not host.reclaimable:
+            return 0.0
+        rate = self._reclaim_rate_by_data_centre.get(host.data_centre)
+        if rate is None:
+            count = self._group.reclaimable_count_by_data_centre[host.data_centre]
+            rate = self._knowledge.reclaims.rate_per_hour(
+                host.data_centre, count, self._context.now
+            )
+            self._reclaim_rate_by_data_centre[host.data_centre] = rate
+        return rate
+
+    def _cached_by_host_id(self, loaded):
+        prefix = self._context.prefix
+        if not prefix.blocks:
+            return {}
+        host_ids = [host.host_id for host, _ in loaded]
+        count_by_host_id = self._knowledge.caches.cached_blocks(
+            host_ids, prefix.blocks, self._context.now
+        )
+        # Other entry hosts send the same prefix to its owners.
+        believed = {host_id: prefix.shared_count for host_id in self._shared_owners}
+        if prefix.continued:
+            believed[self._owners[0]] = len(prefix.blocks)
+        for host_id, count in believed.items():
+            known = count_by_host_id.get(host_id, 0.0)
+            count_by_host_id[host_id] = max(known, _OWNER_BELIEF * count)
+        limit = self._context.demand.prompt_tokens
+        return {
+            host_id: min(count * TOKENS_PER_BLOCK, limit)
+            for host_id, count in count_by_host_id.items()
+        }
+
+    def _reusable_tokens(self, host):
+        if not self._owners or host.host_id != self._owners[0]:
+            return 0.0
+        return _REUSE_BELIEF * self._context.demand.prompt_tokens
+
+
+def _reason(candidate_count, bounded, cached_tokens):
+    if candidate_count == 1:
+        return "load" if bounded else "only"
+    if cached_tokens > 0.0:
+        return "prefix"
+    return "load" if bounded else "cost"
+
+
+def _is_near(host, context):
+    if host.data_centre == context.data_centre:
+        return True
+    return bool(context.region) and host.region == context.region
--- /dev/null
+++ b/src/peridothitch/policy/host_pool.py
@@ -0,0 +1,103 @@
+"""Upstream hosts of one service, grouped by what a request needs."""
+
+from peridothitch.policy import affinity
+from peridothitch.ports import upstream
+
+__all__ = ["HostGroup", "HostPool"]
+
+_MEAN_MAX_AGE_SECONDS = 1.0
+_MEAN_SAMPLE = 48
+
+
+class HostGroup:
+    """Live hosts that run the same version and adapter.
+
+    Parameters
+    ----------
+    hosts : sequence of peridothitch.ports.upstream.Host
+    owners : peridothitch.policy.affinity.OwnerTable or None
+        Kept from an earlier view of the same group.
+    """
+
+    def __init__(self, hosts, owners=None):
+        self.hosts = tuple(sorted(hosts, key=lambda host: host.host_id))
+        self.host_by_id = {host.host_id: host for host in self.hosts}
+        self.owners = owners or affinity.OwnerTable()
+        self.owners.update(self.host_by_id)
+        self.reclaimable_count_by_data_centre = {}
+        for host in self.hosts:
+            count = self.reclaimable_count_by_data_centre.get(host.data_centre, 0)
+            self.reclaimable_count_by_data_centre[host.data_centre] = (
+                count + host.reclaimable
+            )
+        prices = [host.price_per_hour for host in self.hosts if host.price_per_hour]
+        self.mean_price_per_hour = sum(prices) / len(prices) if prices else 1.0
+        self._mean_share = 0.0
+        self._mean_at = None
+        self._sample_start = 0
+
+    def mean_share(self, share_of, now):
+        """Return the mean load per slot, at most a second old.
+
+        A large group's mean is taken over a part of it, another one each time.
+
+        Parameters
+        ----------
+        share_of : callable
+            Takes a host, returns its load per slot.
+        now : float
+            Monotonic time in seconds.
+        """
+        stale = self._mean_at is None or now - self._mean_at >= _MEAN_MAX_AGE_SECONDS
+        if stale and self.hosts:
+            shares = list(map(share_of, self._next_sample()))
+            self._mean_share = sum(shares) / len(shares)
+            self._mean_at = now
+        return self._mean_share
+
+    def _next_sample(self):
+        if len(self.hosts) <= _MEAN_SAMPLE:
+            return self.hosts
+        start = self._sample_start
+        self._sample_start = (start + _MEAN_SAMPLE) % len(self.hosts)
+        sample = self.hosts[start : start + _MEAN_SAMPLE]
+        return sample + self.hosts[: _MEAN_SAMPLE - len(sample)]
+
+
+class HostPool:
+    """Hosts of one service.
+
+    Parameters
+    ----------
+    hosts : iterable of peridothitch.ports.upstream.Host
+    previous : HostPool or None
+        Earlier view, whose owner tables are carried on.
+    """
+
+    def __init__(self, hosts, previous=None):
+        self.hosts = tuple(hosts)
+        self._owners_by_need = previous._owners_by_need if previous else {}
+        self._group_by_need = {}
+
+    def __iter__(self):
+        return iter(self.hosts)
+
+    def __len__(self):
+        return len(self.hosts)
+
+    def group(self, version, adapter=""):
+        """Return the `HostGroup` of live hosts with a version and an adapter."""
+        need = version, adapter
+        group = self._group_by_need.get(need)
+        if group is None:
+            found = [host for host in self.hosts if _serves(host, version, adapter)]
+            group = HostGroup(found, self._owners_by_need.get(need))
+            self._owners_by_need[need] = group.owners
+            self._group_by_need[need] = group
+        return group
+
+
+def _serves(host, version, adapter):
+    if host.state is not upstream.HostState.LIVE or host.version != version:
+        return False
+    return not adapter or adapter in host.adapters
--- /dev/null
+++ b/src/peridothitch/policy/selector.py
@@ -0,0 +1,159 @@
+"""Chooses upstream hosts and keeps what this entry host learns from its attempts."""
+
+import collections
+import dataclasses
+import random
+
+from peridothitch.policy import affinity, choice, cost, load_book
+
+__all__ = ["TOKENS_PER_BLOCK", "Attempt", "Need", "Selector"]
+
+TOKENS_PER_BLOCK = choice.TOKENS_PER_BLOCK
+_MAX_ATTEMPTS_KEPT = 10_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Need:
+    """What one attempt of a request needs.
+
+    Attributes
+    ----------
+    version, adapter : str
+    prefix : peridothitch.policy.affinity.Prefix
+    demand : peridothitch.policy.cost.Demand
+    tried : frozenset of str
+        Host ids of earlier attempts.
+    """
+
+    version: str
+    adapter: str = ""
+    prefix: affinity.Prefix = affinity.NO_PREFIX
+    demand: cost.Demand = cost.Demand()
+    tried: frozenset = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Attempt:
+    """An attempt that was decided.
+
+    Attributes
+    ----------
+    decision : peridothitch.policy.choice.Decision or None
+    blocks : tuple of int
+    uncached_tokens : float
+        Prompt tokens that the host is expected to compute.
+    """
+
+    decision: choice.Decision | None = None
+    blocks: tuple = ()
+    uncached_tokens: float = 0.0
+
+
+_UNPREPARED = Attempt()
+
+
+class Selector:
+    """Chooses hosts; not safe for use by several threads at once.
+
+    All times are monotonic seconds as float.
+
+    Parameters
+    ----------
+    knowledge : peridothitch.policy.choice.Knowledge
+    data_centre, region : str
+        Where this entry host is.
+    random_source : random.Random
+    """
+
+    def __init__(self, knowledge, data_centre="", region="", random_source=None):
+        self.knowledge = knowledge
+        self.region = region
+        self._data_centre = data_centre
+        self._random_source = random_source or random.Random()
+        self._attempt_by_id = collections.OrderedDict()
+
+    def choose(self, pool, need, now, leaving=frozenset()):
+        """Return the `Decision` for an attempt, None when no host is left."""
+        context = choice.ChoiceContext(
+            version=need.version,
+            adapter=need.adapter,
+            data_centre=self._data_centre,
+            region=self.region,
+            tried=need.tried,
+            leaving=leaving,
+            prefix=need.prefix,
+            demand=need.demand,
+            now=now,
+            knowledge=self.knowledge,
+            random_source=self._random_source,
+        )
+        return choice.choose(pool, context)
+
+    def prepare(self, attempt_id, decision, need):
+        """Keep a decision until its attempt starts and ends."""
+        uncached = max(0.0, need.demand.prompt_tokens - decision.cached_tokens)
+        self._attempt_by_id[attempt_id] = Attempt(
+            decision=decision, blocks=need.prefix.blocks, uncached_tokens=uncached
+        )
+        while len(self._attempt_by_id) > _MAX_ATTEMPTS_KEPT:
+            self._attempt_by_id.popitem(last=False)
+
+    def start(self, attempt_id, host_id, now):
+        """Note that an attempt starts; it need not have been prepared."""
+        attempt = self._attempt_by_id.get(attempt_id, _UNPREPARED)
+        rate = load_book.Profile().prefill_tokens_per_second
+        if attempt.decision is not None:
+            host = attempt.decision.host
+            rate = self.knowledge.profile(host).prefill_tokens_per_second
+        loads = self.knowledge.loads
+        loads.note_start(host_id, attempt.uncached_tokens, now, rate)
+        self.knowledge.caches.note_sent(host_id, attempt.blocks, now)
+
+    def end(self, host_id):
+        """Note that an attempt ended."""
+        self.knowledge.loads.note_end(host_id)
+
+    def forget(self, attempt_id):
+        """Drop what was kept of an attempt."""
+        self._attempt_by_id.pop(attempt_id, None)
+
+    def note_first_token(self, attempt_id, seconds, now):
+        """Compare the time to the first token with the predicted one."""
+        attempt = self._attempt_by_id.get(attempt_id)
+        if attempt is None or attempt.decision is None:
+            return
+        decision = attempt.decision
+        ratio = seconds / decision.cost.first_token_seconds
+        self.knowledge.loads.note_ratio(decision.host.host_id, ratio, now)
+
+    def note_gap(self, attempt_id, seconds, now):
+        """Compare the mean gap between tokens with the predicted one."""
+        attempt = self._attempt_by_id.get(attempt_id)
+        if attempt is None or attempt.decision is None:
+            return
+        decision = attempt.decision
+        ratio = seconds / decision.cost.gap_seconds
+        self.knowledge.loads.note_gap(decision.host.host_id, ratio, now)
+
+    def note_report(self, host_id, report, now):
+        """Take in a `peridothitch.policy.load_book.LoadReport`."""
+        self.knowledge.loads.note_report(host_id, report, now)
+
+    def note_cached(self, attempt_id, cached_tokens, now):
+        """Take in the cached tokens that a reply reports."""
+        attempt = self._attempt_by_id.get(attempt_id)
+        if attempt is None:
+            return
+        self.knowledge.caches.note_reply(
+            attempt.decision.host.host_id,
+            attempt.blocks,
+            cached_tokens / TOKENS_PER_BLOCK,
+            now,
+        )
+
+    def update(self, hosts, entry_hosts):
+        """Take in the current hosts and the number of entry hosts."""
+        host_ids = {host.host_id for host in hosts}
+        self.knowledge.loads.entry_hosts = max(1, entry_hosts)
+        self.knowledge.loads.keep(host_ids)
+        self.knowledge.reclaims.keep(host_ids)
--- a/src/peridothitch/ports/upstream.py
+++ b/src/peridothitch/ports/upstream.py
@@ -41,6 +41,8 @@
         Current price in the deployment's currency.
     state : HostState
         Live or leaving.
+    adapters : tuple of str
+        Adapters that the host has loaded.
     """
 
     host_id: str
@@ -53,6 +55,7 @@
     reclaimable: bool = True
     price_per_hour: float = 0.0
     state: HostState = HostState.LIVE
+    adapters: tuple[str, ...] = ()
 
 
 class HostList(abc.ABC):
