Start and stop upstream hosts by plan, at most once for each need

Cause: nothing started hosts; a loop over the cloud's list alone starts a second host after a lost reply, since the list lags and the reply is gone. Ruled out: one record for the whole fleet (two holders overwrite each other's orders) and freeing a slot at the first list that lacks its host (a gap in the list would cost a host that serves).

--- /dev/null
+++ b/features/provisioning.feature
@@ -0,0 +1,50 @@
+Feature: Hosts are started ahead of their load, at most once for each need
+  The plan is pure. The loop runs over a store, a lease and a cloud that fail.
+
+  Scenario: A plan survives the loss of any one data centre
+    Then drawn plans hold the need without any one data centre and keep their limits
+
+  Scenario: A plan is the cheapest that survives
+    Then drawn small plans cost as little as the best found by trying all
+
+  Scenario Outline: Never two starts for one need, whatever fails at whichever step
+    Given three data centres and two entry hosts that may provision
+    When "<fault>" strikes at every step in turn while 6 hosts are needed
+    Then no run started a host twice and each ended with the hosts that it needs
+
+    Examples:
+      | fault                    |
+      | holder dies              |
+      | holder pauses            |
+      | cloud reply lost         |
+      | cloud down               |
+      | store reply lost         |
+      | store down               |
+
+  Scenario: A loop without records starts twice after a lost reply
+    Then the naive loop over the same faults starts more hosts than needed
+
+  Scenario Outline: Hosts are replaced when they go
+    Given three data centres and two entry hosts that may provision
+    When the fleet serves 6 hosts' load and "<event>"
+    Then the fleet ends with any one data centre to spare
+
+    Examples:
+      | event                                |
+      | a wave of notices hits a data centre |
+      | a data centre is lost                |
+      | an offer is refused                  |
+      | an offer's price triples             |
+      | the list of machines has a gap       |
+      | a host without an order appears      |
+
+  Scenario: Hosts are ordered before a rising load arrives
+    Then a load that rises steadily finds its hosts live
+
+  Scenario: Running entry hosts start the hosts that the document asks for
+    Given a store, a cloud of three data centres and two entry hosts as processes
+    When an operator adds a service's limits to the section "hosts"
+    Then the cloud runs what survives a lost data centre and never more
+
+  Scenario: The cloud API over HTTP
+    Then orders, refusals and old fencing numbers pass through the HTTP adapter
--- a/src/peridothitch/adapters/document_file.py
+++ b/src/peridothitch/adapters/document_file.py
@@ -36,6 +36,7 @@
     "versions": _Section("service_by_name", documents.Service),
     "spending": _Section("limit_by_name", documents.SpendingLimit),
     "moves": _Section("move_by_name", documents.Move),
+    "hosts": _Section("host_limit_by_name", documents.HostLimit),
 }
 
 SECTIONS = tuple(_SECTION_BY_NAME)
--- a/src/peridothitch/cli/serve.py
+++ b/src/peridothitch/cli/serve.py
@@ -84,6 +84,11 @@
     type=settings.ADDRESS,
     help="IP number and port of the platform's host list.",
 )
+@click.option(
+    "--cloud",
+    default="",
+    help="IP number and port of the cloud API; without it no hosts are started.",
+)
 @click.option(
     "--threads",
     type=click.IntRange(1, 4096),
@@ -157,6 +162,7 @@
     peer_authority,
     store,
     host_list,
+    cloud,
     threads,
     max_body,
     max_header,
@@ -186,6 +192,7 @@
             seeds=seeds,
             tls=_tls_files(peer_certificate, peer_key, peer_authority),
         ),
+        cloud=cloud,
     )
     logs.install(log_format)
     processes.block_stop_signals()
--- a/src/peridothitch/cli/standin.py
+++ b/src/peridothitch/cli/standin.py
@@ -7,9 +7,11 @@
 
 from peridothitch.adapters import memory_store, system_clock
 from peridothitch.cli import processes, settings
+from peridothitch.ports import cloud as cloud_port
 from peridothitch.ports import upstream
+from peridothitch.standins import cloud as clouds
 from peridothitch.standins import engine as engines
-from peridothitch.standins import faulty_store
+from peridothitch.standins import faulty_store, reporting
 from peridothitch.standins import hosts as host_lists
 from peridothitch.standins import service as services
 from peridothitch.standins import store as stores
@@ -17,6 +19,7 @@
 __all__ = ["standin"]
 
 _CRASH_EXIT_CODE = 70
+_KINDS = ("reclaimable", "on-demand")
 
 _listen = click.option(
     "--listen",
@@ -104,6 +107,34 @@
     processes.serve_application(application, listen, _announce)
 
 
+@standin.command()
+@_listen
+@click.option(
+    "--offer",
+    "lines",
+    multiple=True,
+    help="An offer as DATA_CENTRE,MACHINE_CLASS,KIND,PRICE with KIND reclaimable or"
+    " on-demand; may be repeated.",
+)
+def cloud(listen, lines):
+    """Run a cloud API; a machine is live at the first read after its start."""
+    memory = clouds.MemoryCloud([_parse_offer(line) for line in lines])
+    processes.serve_application(clouds.CloudService(memory), listen, _announce)
+
+
+def _parse_offer(line):
+    parts = line.split(",")
+    if len(parts) != 4 or parts[2] not in _KINDS:
+        raise click.BadParameter(f"{line!r} is not an offer")
+    data_centre, machine_class, kind, price = parts
+    return cloud_port.Offer(
+        data_centre=data_centre,
+        machine_class=machine_class,
+        reclaimable=kind == _KINDS[0],
+        price_per_hour=float(price),
+    )
+
+
 def _parse_host(line):
     parts = line.split(",")
     if len(parts) != 5:
--- a/src/peridothitch/errors.py
+++ b/src/peridothitch/errors.py
@@ -7,6 +7,7 @@
 import enum
 
 __all__ = [
+    "CloudError",
     "Code",
     "CodedError",
     "DocumentError",
@@ -64,6 +65,9 @@
     NOT_READY = 4003
     PEER_FAILED = 4004
     LEASE_NOT_HELD = 4005
+    CLOUD_UNAVAILABLE = 4016
+    CLOUD_UNCLEAR = 4017
+    START_REFUSED = 4018
     DOCUMENT_SYNTAX = 5001
     DOCUMENT_SCHEMA = 5002
     DOCUMENT_REFERENCE = 5003
@@ -124,6 +128,9 @@
     Code.NOT_READY: (503, "The entry host has no configuration yet."),
     Code.PEER_FAILED: (503, "Another entry host did not answer."),
     Code.LEASE_NOT_HELD: (409, "This process may not act on the lease."),
+    Code.CLOUD_UNAVAILABLE: (503, "The cloud API did not take the call."),
+    Code.CLOUD_UNCLEAR: (503, "The cloud API's answer was lost."),
+    Code.START_REFUSED: (503, "The cloud has no such host to start now."),
     Code.DOCUMENT_SYNTAX: (400, "The document is not valid YAML."),
     Code.DOCUMENT_SCHEMA: (422, "The document does not match its schema."),
     Code.DOCUMENT_REFERENCE: (422, "A section refers to something undefined."),
@@ -253,6 +260,10 @@
         self.ran = ran
 
 
+class CloudError(CodedError):
+    """A call of the cloud API failed; `code` tells whether it may have been applied."""
+
+
 class PeerError(CodedError):
     """A call to another entry host failed.
 
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -30,6 +30,7 @@
     loops,
     moves,
     peer_links,
+    provisioning_links,
     upstream_links,
     versions,
 )
@@ -68,6 +69,8 @@
         Longest wait for requests in progress at shutdown.
     fleet : peridothitch.gateway.peer_links.FleetSettings
         How this host and its peers reach each other.
+    cloud : str
+        IP number and port of the cloud API; empty if hosts are started elsewhere.
     """
 
     host_id: str
@@ -78,6 +81,7 @@
     limits: wsgi_server.ServerLimits = wsgi_server.ServerLimits()
     drain_timeout: datetime.timedelta = datetime.timedelta(seconds=25)
     fleet: peer_links.FleetSettings = peer_links.FleetSettings()
+    cloud: str = ""
 
 
 class EntryHost:
@@ -114,6 +118,9 @@
             service, self.fleet, self._view, clock, self.metrics
         )
         self.feed = self._documents.feed
+        self._provisioning = provisioning_links.ProvisioningLink(
+            settings, service, self.feed, self._view, clock, self.metrics
+        )
         incarnation = _incarnation(settings.host_id)
         ledger = slices.SliceLedger(service, incarnation)
         self._usage = usage.UsageRecorder(service, incarnation, clock, self.metrics)
@@ -215,6 +222,7 @@
         return (
             *self._documents.loops(),
             *self._upstreams.loops(self.feed),
+            *self._provisioning.loops(),
             self.book.run,
             self._usage.run,
             self.moves.run,
--- a/src/peridothitch/gateway/upstreams.py
+++ b/src/peridothitch/gateway/upstreams.py
@@ -106,6 +106,15 @@
             host.state is upstream.HostState.LEAVING or host_id in self._leaving
         )
 
+    def running(self, service):
+        """Return the estimated streams in progress at all hosts of a service."""
+        with self._lock:
+            now = self._now()
+            return sum(
+                self._selector.knowledge.load(host, now).running
+                for host in self._pool_by_service.get(service, ())
+            )
+
     def in_flight(self):
         """Return requests in progress by host id."""
         with self._lock:
--- a/src/peridothitch/policy/document.py
+++ b/src/peridothitch/policy/document.py
@@ -15,6 +15,7 @@
     "Customer",
     "Document",
     "Effect",
+    "HostLimit",
     "Move",
     "Priority",
     "Protocol",
@@ -180,6 +181,35 @@
     price_per_request: decimal.Decimal = decimal.Decimal(0)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HostLimit:
+    """Bounds on the hosts that are started for one service.
+
+    Attributes
+    ----------
+    service : str
+        Service that the hosts run.
+    streams_per_host : float
+        Streams that a host carries within the latency target.
+    least_hosts, most_hosts : int
+        Fewest and most hosts at the same time.
+    most_cost_per_hour : float
+        Most that the hosts may cost in an hour, in the deployment's currency.
+    on_demand_share : float
+        Share of the needed hosts that the platform can't take back.
+    lead : datetime.timedelta
+        Time from the order of a host until it serves.
+    """
+
+    service: str
+    streams_per_host: float = 60.0
+    least_hosts: int = 2
+    most_hosts: int = 100
+    most_cost_per_hour: float = 1e9
+    on_demand_share: float = 0.16
+    lead: datetime.timedelta = datetime.timedelta(minutes=4)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Move:
     """Move of a service's traffic from its current version to another one.
@@ -224,6 +254,7 @@
     service_by_name: dict = dataclasses.field(default_factory=dict)
     limit_by_name: dict = dataclasses.field(default_factory=dict)
     move_by_name: dict = dataclasses.field(default_factory=dict)
+    host_limit_by_name: dict = dataclasses.field(default_factory=dict)
 
 
 def _fail(path, detail):
@@ -255,6 +286,11 @@
             _fail(
                 f"spending/{name}/customer", f"customer {limit.customer!r} is undefined"
             )
+    for name, limit in document.host_limit_by_name.items():
+        if limit.service not in document.service_by_name:
+            _fail(f"hosts/{name}/service", f"service {limit.service!r} is undefined")
+        if limit.streams_per_host <= 0.0:
+            _fail(f"hosts/{name}/streams_per_host", "streams_per_host is not positive")
     for name, move in document.move_by_name.items():
         service = document.service_by_name.get(move.service)
         if service is None:
