Learn reuse by route and guess unreported loads from the mean

Cause: with many entry hosts an upstream without a recent report was guessed from own attempts times their number; at 70 entry hosts one own attempt counted as 70, so owners looked overloaded and conversations moved.

--- a/src/peridothitch/gateway/needs.py
+++ b/src/peridothitch/gateway/needs.py
@@ -9,6 +9,7 @@
 _BYTES_PER_TOKEN = 4.0
 _BYTES_PER_OUTPUT_TOKEN = 200.0
 _DEFAULT_OUTPUT_TOKENS = 200.0
+_DEFAULT_REUSE = 0.3
 _SMOOTHING = 0.05
 _USER = "user"
 _ASSISTANT = "assistant"
@@ -19,6 +20,7 @@
 
     def __init__(self):
         self._output_tokens_by_route = {}
+        self._reuse_by_route = {}
 
     def estimate(self, job, version, tried, now):
         """Return the `Need` of an attempt.
@@ -40,6 +42,7 @@
             prefix = prefix_of(job.chat["messages"], f"{version}/{adapter}")
             prompt_bytes = len(job.request.body)
             output_tokens = self._output_tokens(job)
+            self._learn_reuse(job.match.name, prefix.continued)
         demand = cost.Demand(
             prompt_tokens=prompt_bytes / _BYTES_PER_TOKEN,
             output_tokens=output_tokens,
@@ -47,6 +50,7 @@
             + output_tokens * _BYTES_PER_OUTPUT_TOKEN,
             priority=job.route.priority,
             remaining=job.deadline - now,
+            reuse=self._reuse_by_route.get(job.match.name, _DEFAULT_REUSE),
         )
         return selector.Need(
             version=version,
@@ -64,6 +68,11 @@
         known += _SMOOTHING * (outcome.token_count - known)
         self._output_tokens_by_route[outcome.route] = known
 
+    def _learn_reuse(self, route, continued):
+        """Learn which share of a route's requests go on from an earlier one."""
+        known = self._reuse_by_route.get(route, _DEFAULT_REUSE)
+        self._reuse_by_route[route] = known + _SMOOTHING * (continued - known)
+
     def _output_tokens(self, job):
         known = self._output_tokens_by_route.get(job.match.name, _DEFAULT_OUTPUT_TOKENS)
         limit = job.chat.get("max_tokens")
--- a/src/peridothitch/policy/choice.py
+++ b/src/peridothitch/policy/choice.py
@@ -35,7 +35,6 @@
 _LOAD_BOUND = 1.25
 _FREE_SHARE = 0.5
 _OWNER_BELIEF = 0.7
-_REUSE_BELIEF = 0.3
 TOKENS_PER_BLOCK = 128
 _DEFAULT_PROFILE = load_book.Profile()
 
@@ -342,7 +341,8 @@
     def _reusable_tokens(self, host):
         if not self._owners or host.host_id != self._owners[0]:
             return 0.0
-        return _REUSE_BELIEF * self._context.demand.prompt_tokens
+        demand = self._context.demand
+        return demand.reuse * demand.prompt_tokens
 
 
 def _reason(candidate_count, bounded, cached_tokens):
--- a/src/peridothitch/policy/cost.py
+++ b/src/peridothitch/policy/cost.py
@@ -85,6 +85,8 @@
     priority : peridothitch.policy.document.Priority
     remaining : datetime.timedelta or None
         Time to the request's deadline.
+    reuse : float
+        Probability that a later request starts with this prompt.
     """
 
     prompt_tokens: float = 0.0
@@ -92,6 +94,7 @@
     request_bytes: float = 0.0
     priority: documents.Priority = documents.Priority.NORMAL
     remaining: datetime.timedelta | None = None
+    reuse: float = 0.3
 
 
 class Cost(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/peridothitch/policy/load_book.py
+++ b/src/peridothitch/policy/load_book.py
@@ -1,8 +1,8 @@
 """Estimates of the load of upstream hosts from late, partial and own knowledge.
 
 Reports come with replies and from other entry hosts. Between reports the estimate moves
-with what this entry host sends and ends itself; without a report it assumes that the
-other entry hosts send as much as this one.
+with what this entry host sends and ends itself; without a report it is drawn from the
+mean of the others' and from what this entry host sends.
 """
 
 import dataclasses
@@ -19,6 +19,7 @@
 _MAX_RATIO = 8.0
 _RATIO_HALF_LIFE_SECONDS = 30.0
 _BUSY_SHARE = 0.8
+_LOAD_SPREAD = 0.25
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -137,6 +138,7 @@
         self.entry_hosts = entry_hosts
         self._entry_by_host_id = {}
         self._gap_ratio_of_all = 1.0
+        self._mean_running = None
 
     def note_report(self, host_id, report, now):
         """Take in a `LoadReport` made at `now`; an older one is ignored."""
@@ -145,6 +147,9 @@
             return
         entry.report = report
         entry.reported_at = now
+        if self._mean_running is None:
+            self._mean_running = float(report.running)
+        self._mean_running += _COMMON_SMOOTHING * (report.running - self._mean_running)
         entry.net_since_report = 0
         entry.sent_tokens = 0.0
 
@@ -210,8 +215,8 @@
         """Return the `HostLoad` of a host; `rate` as in `note_start`."""
         entry = self._entry_by_host_id.get(host_id)
         if entry is None:
-            return HostLoad(0.0, 0.0, 1.0, self._gap_ratio_of_all)
-        running = float(entry.own_running * self.entry_hosts)
+            return HostLoad(self._guess(0), 0.0, 1.0, self._gap_ratio_of_all)
+        running = self._guess(entry.own_running)
         backlog = max(0.0, entry.sent_tokens - (now - entry.sent_at) * rate)
         if entry.report is not None:
             age = max(0.0, now - entry.reported_at)
@@ -223,6 +228,20 @@
         gap_ratio = _faded(entry.gap_ratio, now - entry.gap_ratio_at)
         return HostLoad(running, backlog, slowness, gap_ratio * self._gap_ratio_of_all)
 
+    def _guess(self, own_running):
+        """Return the load of a host without a report.
+
+        Own attempts are a sample of all; the more entry hosts there are, the less it
+        tells against the mean of what other hosts report.
+        """
+        sampled = float(own_running * self.entry_hosts)
+        mean = self._mean_running
+        if mean is None:
+            return sampled
+        spread = (_LOAD_SPREAD * mean) ** 2
+        weight = spread / (spread + self.entry_hosts * max(1.0, mean))
+        return mean + weight * (sampled - mean)
+
     def _entry(self, host_id):
         entry = self._entry_by_host_id.get(host_id)
         if entry is None:
