--- a/features/provisioning.feature
+++ b/features/provisioning.feature
@@ -21,6 +21,9 @@
       | store reply lost         |
       | store down               |
 
+  Scenario: Two holders that race for a need write one order
+    Then only one of two orders for the same slot is written
+
   Scenario: A loop without records starts twice after a lost reply
     Then the naive loop over the same faults starts more hosts than needed
 
--- a/features/provisioning_fleet.py
+++ b/features/provisioning_fleet.py
@@ -1,6 +1,7 @@
 """Two host keepers over one store and one cloud that fail at a chosen call."""
 
 import datetime
+import math
 
 import virtual_clock
 
@@ -15,6 +16,7 @@
 TERMS = lease.LeaseTerms(name="hosts", ttl=10 * SECOND, longest_order=2 * SECOND)
 CENTRES = ("lothian", "fife", "ayrshire")
 STREAMS_PER_HOST = 10.0
+LAG_ROUNDS = 2
 OFFERS = tuple(
     cloud.Offer(
         data_centre=centre,
@@ -93,6 +95,23 @@
         return call
 
 
+class LaggingCloud:
+    """Lists machines as they were some rounds ago."""
+
+    def __init__(self, inner, rounds):
+        self._inner = inner
+        self._snapshots = [{}] * rounds
+
+    def __getattr__(self, name):
+        return getattr(self._inner, name)
+
+    def machines(self):
+        return self._snapshots[0]
+
+    def end_round(self):
+        self._snapshots = [*self._snapshots[1:], self._inner.machines()]
+
+
 class ProvisioningFleet:
     """Keepers a and b; faults strike a."""
 
@@ -100,10 +119,12 @@
         self.clock = virtual_clock.VirtualClock()
         self.store = memory_store.MemoryStore(self.clock)
         self.cloud = clouds.MemoryCloud(OFFERS)
+        self.lagging = LaggingCloud(self.cloud, LAG_ROUNDS)
         self.faults = Faults(self.clock, fault, position, count)
         self.streams = 40.0
         self.alive = {"a", "b"}
         self.peak = 0
+        self.least_spare = math.inf
         self.lease_by_name = {}
         self.keeper_by_name = {}
         self.metrics = metrics.Metrics()
@@ -118,7 +139,7 @@
             )
             self.keeper_by_name[name] = keeper(
                 orders,
-                Through("cloud", self.cloud, faults),
+                Through("cloud", self.lagging, faults),
                 self.lease_by_name[name],
                 self.clock,
                 self.metrics,
@@ -142,7 +163,9 @@
             except ProcessDiedError:
                 self.alive.discard(name)
         self.peak = max(self.peak, len(self.serving()))
+        self.least_spare = min(self.least_spare, self.spare())
         self.cloud.boot()
+        self.lagging.end_round()
         self.clock.advance(4 * SECOND)
 
     def rounds(self, count):
@@ -156,6 +179,11 @@
             if machine.state is not cloud.MachineState.LEAVING
         ]
 
+    def spare(self):
+        """Return the live hosts left when the largest data centre is lost."""
+        most = len(self.serving())
+        return max((n for n in range(most + 1) if self.survives(n)), default=0)
+
     def survives(self, needed):
         return fleet_size.survives_loss(self.cloud.machines().values(), needed)
 
--- a/features/steps/provisioning_steps.py
+++ b/features/steps/provisioning_steps.py
@@ -11,6 +11,7 @@
 
 from peridothitch import errors
 from peridothitch.adapters import http_cloud, wsgi_front
+from peridothitch.coordination import host_orders
 from peridothitch.gateway import embedded
 from peridothitch.policy import fleet_size
 from peridothitch.ports import cloud
@@ -124,6 +125,20 @@
         assert fleet.survives(NEEDED), where
 
 
+@behave.then("only one of two orders for the same slot is written")
+def check_race(context):
+    fleet = fleets.ProvisioningFleet()
+    orders = host_orders.HostOrders(fleet.store, fleet.clock)
+    read = orders.read()
+    written = [orders.order("model", "v1", fleets.OFFERS[0], read) for _ in range(2)]
+    assert written[0] is not None and written[1] is None
+    (slot,) = orders.read().values()
+    assert slot == written[0]
+    assert orders.mark(slot, host_orders.SlotState.SEEN) is not None
+    assert orders.mark(slot, host_orders.SlotState.REFUSED) is None
+    assert not orders.free(slot)
+
+
 @behave.then("the naive loop over the same faults starts more hosts than needed")
 def check_naive(context):
     worst = 0
@@ -153,6 +168,7 @@
         fleet.cloud.refuse([dearest.name])
         fleet.cloud.reclaim("lothian")
     if event == "an offer's price triples":
+        fleet.least_spare = math.inf
         fleet.cloud.change_price(dearest.name, 3 * dearest.price_per_hour)
     if event == "the list of machines has a gap":
         kept = fleet.cloud._machine_by_order_id
@@ -166,6 +182,7 @@
         )
         fleet.cloud.start(order, 1 << 40)
         fleet.cloud._highest_fencing_number = 0
+    context.event = event
     fleet.rounds(60)
 
 
@@ -173,6 +190,8 @@
 def check_replaced(context):
     fleet = context.fleet
     assert fleet.survives(NEEDED), fleet.cloud.machines()
+    if context.event == "an offer's price triples":
+        assert fleet.least_spare >= NEEDED, "released before the new hosts were live"
     assert "stray" not in fleet.cloud.machines()
     assert len(fleet.serving()) <= PEAK + 2, len(fleet.serving())
     if context.most_starts is not None:
