--- a/src/peridothitch/cli/serve.py
+++ b/src/peridothitch/cli/serve.py
@@ -86,8 +86,9 @@
 )
 @click.option(
     "--cloud",
-    default="",
-    help="IP number and port of the cloud API; without it no hosts are started.",
+    type=settings.ADDRESS,
+    default=None,
+    help="IP number and port of the cloud API.  [default: none, no hosts are started]",
 )
 @click.option(
     "--threads",
@@ -192,7 +193,7 @@
             seeds=seeds,
             tls=_tls_files(peer_certificate, peer_key, peer_authority),
         ),
-        cloud=cloud,
+        cloud=cloud or "",
     )
     logs.install(log_format)
     processes.block_stop_signals()
--- a/src/peridothitch/cli/standin.py
+++ b/src/peridothitch/cli/standin.py
@@ -107,7 +107,7 @@
     processes.serve_application(application, listen, _announce)
 
 
-@standin.command()
+@standin.command(cls=settings.SettingsCommand)
 @_listen
 @click.option(
     "--offer",
