--- a/features/steps/provisioning_steps.py
+++ b/features/steps/provisioning_steps.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as drawing
 
 from peridothitch import errors
-from peridothitch.adapters import http_cloud, wsgi_front
+from peridothitch.adapters import http_cloud, wsgi_server
 from peridothitch.coordination import host_orders
 from peridothitch.gateway import embedded
 from peridothitch.policy import fleet_size
@@ -269,7 +269,7 @@
 @behave.then("orders, refusals and old fencing numbers pass through the HTTP adapter")
 def check_http(context):
     memory = clouds.MemoryCloud(fleets.OFFERS)
-    server = wsgi_front.WsgiServer(clouds.CloudService(memory), "127.0.0.1:0")
+    server = wsgi_server.WsgiServer(clouds.CloudService(memory), "127.0.0.1:0")
     server.start()
     context.add_cleanup(server.close)
     client = http_cloud.HttpCloud(f"127.0.0.1:{server.port}")
--- a/src/peridothitch/gateway/needs.py
+++ b/src/peridothitch/gateway/needs.py
@@ -77,7 +77,7 @@
         known = self._output_tokens_by_route.get(job.match.name, _DEFAULT_OUTPUT_TOKENS)
         limit = job.chat.get("max_tokens")
         if isinstance(limit, int) and limit > 0:
-            return min(known, float(limit))
+            return min(known, limit)
         return known
 
 
--- a/src/peridothitch/standins/reporting.py
+++ b/src/peridothitch/standins/reporting.py
@@ -73,6 +73,10 @@
         except BaseException:
             self._add_running(-1)
             raise
+        if isinstance(chunks, list):
+            # The server tells the length of a list, so that its reader needn't wait.
+            self._add_running(-1)
+            return chunks
         return self._count_until_end(chunks)
 
     def _count_until_end(self, chunks):
