--- a/src/peridothitch/cli/serve.py
+++ b/src/peridothitch/cli/serve.py
@@ -84,6 +84,12 @@
     type=settings.ADDRESS,
     help="IP number and port of the platform's host list.",
 )
+@click.option(
+    "--cloud",
+    type=settings.ADDRESS,
+    default=None,
+    help="IP number and port of the cloud API.  [default: none, no hosts are started]",
+)
 @click.option(
     "--threads",
     type=click.IntRange(1, 4096),
@@ -157,6 +163,7 @@
     peer_authority,
     store,
     host_list,
+    cloud,
     threads,
     max_body,
     max_header,
@@ -186,6 +193,7 @@
             seeds=seeds,
             tls=_tls_files(peer_certificate, peer_key, peer_authority),
         ),
+        cloud=cloud or "",
     )
     logs.install(log_format)
     processes.block_stop_signals()
--- a/src/peridothitch/gateway/attempts.py
+++ b/src/peridothitch/gateway/attempts.py
@@ -181,13 +181,14 @@
         return attempt
 
     def _send(self, job, host, span, scope):
-        scope.enter_context(self._view.track(host.host_id))
+        scope.enter_context(self._view.track(host.host_id, job.request_id))
         scope.enter_context(self._guard.track(job.digest, host.host_id))
         hop = scope.enter_context(
             self._tracer.span("attempt", parent=span, host=host.host_id)
         )
         exchange = self._transport.open(host, self._call(job, hop))
         scope.callback(exchange.cancel)
+        self._view.note_headers(job.request_id, host, exchange.header_by_name)
         return exchange
 
     def _call(self, job, hop):
@@ -211,7 +212,7 @@
             header_by_name=header_by_name | self._tracer.headers(hop),
             body=_body(job),
             streamed=job.streamed,
-            first_byte_timeout=min(route.first_byte_timeout, remaining),
+            first_byte_timeout=_first_byte_timeout(job, remaining),
             gap_timeout=min(route.gap_timeout, remaining),
         )
 
@@ -295,3 +296,10 @@
         return job.request.body
     resume = {"event_id": job.resume.event_id, "text": job.resume.text}
     return msgspec.json.encode({**job.chat, _RESUME_FIELD: resume})
+
+
+def _first_byte_timeout(job, remaining):
+    """Return the bound on the first byte; unstreamed answers begin when whole."""
+    if job.chat is not None and not job.streamed:
+        return remaining
+    return min(job.route.first_byte_timeout, remaining)
--- a/src/peridothitch/gateway/embedded.py
+++ b/src/peridothitch/gateway/embedded.py
@@ -11,7 +11,7 @@
 from peridothitch.coordination import documents
 from peridothitch.gateway import customers, host
 from peridothitch.ports import upstream
-from peridothitch.standins import engine, hosts, service
+from peridothitch.standins import engine, hosts, reporting, service
 
 __all__ = ["EXAMPLE_DOCUMENT", "EXAMPLE_KEY", "EmbeddedSystem"]
 
@@ -92,7 +92,11 @@
         }
         self._servers = []
         self._store_document(text)
-        self._listen_upstreams(self.engine_by_id, "assistant")
+        reporting_by_id = {
+            host_id: reporting.ReportingEngine(model, "v1")
+            for host_id, model in self.engine_by_id.items()
+        }
+        self._listen_upstreams(reporting_by_id, "assistant")
         self._listen_upstreams(self.service_by_id, "ticketing")
         settings = host.HostSettings(
             host_id="entry-0",
--- a/src/peridothitch/gateway/host.py
+++ b/src/peridothitch/gateway/host.py
@@ -30,7 +30,8 @@
     loops,
     moves,
     peer_links,
-    upstreams,
+    provisioning_links,
+    upstream_links,
     versions,
 )
 
@@ -68,6 +69,8 @@
         Longest wait for requests in progress at shutdown.
     fleet : peridothitch.gateway.peer_links.FleetSettings
         How this host and its peers reach each other.
+    cloud : str
+        IP number and port of the cloud API; empty if hosts are started elsewhere.
     """
 
     host_id: str
@@ -78,6 +81,7 @@
     limits: wsgi_server.ServerLimits = wsgi_server.ServerLimits()
     drain_timeout: datetime.timedelta = datetime.timedelta(seconds=25)
     fleet: peer_links.FleetSettings = peer_links.FleetSettings()
+    cloud: str = ""
 
 
 class EntryHost:
@@ -106,11 +110,17 @@
             clock,
             self.metrics,
         )
-        self._view = upstreams.UpstreamView(host_list, clock, self.metrics)
+        self._upstreams = upstream_links.UpstreamLink(
+            settings, host_list, self.fleet, clock, self.metrics
+        )
+        self._view = self._upstreams.view
         self._documents = document_links.DocumentLink(
             service, self.fleet, self._view, clock, self.metrics
         )
         self.feed = self._documents.feed
+        self._provisioning = provisioning_links.ProvisioningLink(
+            settings, service, self.feed, self._view, clock, self.metrics
+        )
         incarnation = _incarnation(settings.host_id)
         ledger = slices.SliceLedger(service, incarnation)
         self._usage = usage.UsageRecorder(service, incarnation, clock, self.metrics)
@@ -137,7 +147,7 @@
                 admission=gate,
                 version_picker=versions.VersionPicker(self.moves),
                 settlers=(gate,),
-                observers=(self.moves,),
+                observers=(self.moves, self._view),
                 executor=self._requests,
                 lookup_executor=self._lookups,
                 data_centre=settings.data_centre,
@@ -215,7 +225,8 @@
         """Return what runs in the background until the host stops."""
         return (
             *self._documents.loops(),
-            self._view.run,
+            *self._upstreams.loops(self.feed),
+            *self._provisioning.loops(),
             self.book.run,
             self._usage.run,
             self.moves.run,
--- a/src/peridothitch/gateway/intake.py
+++ b/src/peridothitch/gateway/intake.py
@@ -154,7 +154,7 @@
 
 def _bound_tokens(request, chat, route):
     """Set the bound on the answer's tokens that its spending is reserved for."""
-    if chat is None or chat.get("max_tokens") is not None:
+    if chat is None or chat.get("max_tokens") or chat.get("max_completion_tokens"):
         return request
-    chat["max_tokens"] = route.max_tokens
+    chat["max_completion_tokens"] = route.max_tokens
     return dataclasses.replace(request, body=msgspec.json.encode(chat))
--- a/src/peridothitch/gateway/jobs.py
+++ b/src/peridothitch/gateway/jobs.py
@@ -68,7 +68,8 @@
     @property
     def max_tokens(self):
         """Most tokens that the answer to a chat request may have, over all choices."""
-        tokens = self.chat.get("max_tokens") or self.route.max_tokens
+        bound = self.chat.get("max_tokens") or self.chat.get("max_completion_tokens")
+        tokens = bound or self.route.max_tokens
         return tokens * (self.chat.get("n") or 1)
 
     def headers(self):
--- a/src/peridothitch/policy/document_checks.py
+++ b/src/peridothitch/policy/document_checks.py
@@ -26,6 +26,9 @@
     for name, limit in document.limit_by_name.items():
         if limit.customer not in document.customer_by_name:
             yield _undefined(f"spending/{name}/customer", "customer", limit.customer)
+    for name, limit in document.host_limit_by_name.items():
+        if limit.service not in services:
+            yield _undefined(f"hosts/{name}/service", "service", limit.service)
     for name, move in document.move_by_name.items():
         service = services.get(move.service)
         if service is None:
@@ -53,6 +56,9 @@
             yield _fault(f"owners/{section}", f"section {section!r} is undefined")
     yield from _find_double_routes(document)
     yield from _find_double_keys(document)
+    for name, limit in document.host_limit_by_name.items():
+        if limit.streams_per_host <= 0.0:
+            yield _fault(f"hosts/{name}/streams_per_host", "it is not positive")
     for name, move in document.move_by_name.items():
         if move.finish_by <= move.start:
             yield _fault(f"moves/{name}/finish_by", "finish_by is not after start")
--- a/src/peridothitch/standins/engine.py
+++ b/src/peridothitch/standins/engine.py
@@ -179,7 +179,7 @@
         return _Task(
             request_id=request_id,
             prompt=str(body["messages"][-1].get("content", "")),
-            token_count=int(body.get("max_tokens") or _DEFAULT_TOKENS),
+            token_count=_count_tokens(body),
             streamed=body.get("stream") is True,
             start=int(resume.get("event_id", 0)),
             prefix=prefix,
@@ -240,3 +240,11 @@
                 "completion_tokens": task.token_count,
             },
         }
+
+
+def _count_tokens(body):
+    """Return an answer's length: `max_tokens`, or a fixed one within the bound."""
+    if body.get("max_tokens"):
+        return int(body["max_tokens"])
+    bound = int(body.get("max_completion_tokens") or _DEFAULT_TOKENS)
+    return min(_DEFAULT_TOKENS, bound)
