Settle each of the requests that share one id

Cause: a request's id is made from customer and key, so a request sent twice at the same time registered its usage twice under one name; the second removal raised KeyError and its reservation was never settled. Ruled out: a name of its own for each admission, since attempts report the shared id. Before: features/shared_ids.feature, 0 passed, 1 failed (KeyError). After: 1 passed; shared_ids, spending, bill and refusals together 24 passed, 0 failed; make check clean.

--- a/src/peridothitch/gateway/admission.py
+++ b/src/peridothitch/gateway/admission.py
@@ -109,11 +109,13 @@
         """Reserve the worst case while the context is open, then settle."""
         reservation = self._book.reserve(_charges_for(job, self._clock.now()))
         usage = Usage(prompt_tokens=_prompt_characters(job) // CHARACTERS_PER_TOKEN)
-        self._usage_by_request_id[job.request_id] = usage
+        # Requests sent again with the same key share their id; one of them runs.
+        registered = self._usage_by_request_id.setdefault(job.request_id, usage)
         try:
             yield usage
         finally:
-            del self._usage_by_request_id[job.request_id]
+            if registered is usage:
+                del self._usage_by_request_id[job.request_id]
             self._settle(job, reservation, usage)
 
     def observe(self, outcome):
