--- a/src/peridothitch/gateway/forwarding/front.py
+++ b/src/peridothitch/gateway/forwarding/front.py
@@ -65,10 +65,10 @@
         try:
             job = self._to_job(request)
             route = job.route.name
-            status = self._serve(job, conversation)
+            self._serve(job, conversation)
         except errors.RequestError as error:
             code = int(error.code)
-            status = self._answer_error(request, conversation, error)
+            self._answer_error(request, conversation, error)
         finally:
             self._count(-1)
         took = self._parts.clock.monotonic() - request.arrived
@@ -152,7 +152,6 @@
             sends=search.sends,
             ms=int(took.total_seconds() * 1000),
         )
-        return status
 
     def _admit(self, job):
         parts = self._parts
@@ -195,7 +194,7 @@
         )
         if conversation.has_begun or error.code is errors.Code.CALLER_GONE:
             conversation.abort()
-            return 0
+            return
         reply = problems.to_reply(error)
         fields = [("Content-Type", reply.header_by_name["content-type"])]
         if error.retry_after is not None:
@@ -207,7 +206,6 @@
             conversation.end()
         except errors.RequestError:
             conversation.abort()
-        return reply.status
 
 
 def _request_id(dialect, request):
--- a/src/peridothitch/gateway/forwarding/quotas.py
+++ b/src/peridothitch/gateway/forwarding/quotas.py
@@ -33,6 +33,7 @@
         self._lock = threading.Lock()
         self._bucket_by_name = {}
         self._share_by_name = {}
+        self._total_by_name = {}
 
     def take(self, customer, tokens):
         """Take what a request needs.
@@ -68,7 +69,8 @@
         self._metrics.count("quota_refusals", customer=customer.name)
         raise errors.RequestError(
             errors.Code.QUOTA_REACHED,
-            f"customer {customer.name} uses {quota.rate:.0f} a second and more",
+            f"customer {customer.name} may use {quota.rate:.0f} a second; here "
+            f"{bucket.rate:.0f}, asked for {bucket.demand:.0f}, wanted {units:.0f}",
             retry_after=min(wait, _LONGEST_RETRY_AFTER),
         )
 
@@ -98,6 +100,7 @@
             This host's part in it.
         """
         with self._lock:
+            self._total_by_name = dict(view.demand_by_customer)
             self._share_by_name = {
                 name: token_quota.share_of(
                     report.demand_by_customer.get(name, 0.0), total, view.host_count
@@ -113,6 +116,7 @@
         share = self._share_by_name.get(customer.name)
         if share is None:
             share = 1.0 / max(_ASSUMED_HOSTS, self._host_count())
-        depth = token_quota.bucket_depth(customer.quota, self._promises)
+        total = self._total_by_name.get(customer.name, 0.0)
+        depth = token_quota.bucket_depth(customer.quota, self._promises, total)
         bucket.set_share(share * customer.quota.rate, share * depth, now)
         return bucket
--- a/src/peridothitch/gateway/forwarding/retry_budgets.py
+++ b/src/peridothitch/gateway/forwarding/retry_budgets.py
@@ -1,4 +1,4 @@
-"""This host's part of the repeats that a service may get from all entry hosts."""
+"""Each host's part of the repeats that a service may get from all entry hosts."""
 
 import dataclasses
 import threading
--- a/src/peridothitch/policy/capacity_plan.py
+++ b/src/peridothitch/policy/capacity_plan.py
@@ -16,6 +16,10 @@
 """Reclaims strike one data centre at a time, though several may follow each other."""
 
 
+_LEAST_HOSTS = 2
+"""Hosts in a data centre that serve while one of them is being replaced."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Demand:
     """Load of a service.
@@ -55,7 +59,7 @@
     data_centres : sequence of str
         Where the service may run.
     """
-    least = max(1, scaling.least)
+    least = max(_LEAST_HOSTS, scaling.least)
     needed = demand.busy_hosts / demand.target_use
     remaining = max(1, len(data_centres) - _LOST_DATA_CENTRES)
     each = min(scaling.most, max(least, math.ceil(needed / remaining)))
@@ -89,9 +93,11 @@
     on_demand_now = present.get((data_centre, False), 0)
     room = max(0, service.scaling.most - on_demand_now)
     reclaimable = min(reclaimable, room)
-    replaced = present.get((data_centre, True), 0) >= reclaimable
-    if on_demand < on_demand_now and not replaced:
-        on_demand = on_demand_now
+    if present.get((data_centre, True), 0) < reclaimable:
+        on_demand = max(on_demand, on_demand_now)
+    counts = [(True, reclaimable)]
+    if on_demand or on_demand_now:
+        counts.append((False, on_demand))
     return [
         duties.CapacityOrder(
             service=service.name,
@@ -99,5 +105,5 @@
             count=count,
             reclaimable=is_reclaimable,
         )
-        for is_reclaimable, count in ((True, reclaimable), (False, on_demand))
+        for is_reclaimable, count in counts
     ]
--- a/src/peridothitch/policy/placement.py
+++ b/src/peridothitch/policy/placement.py
@@ -160,4 +160,8 @@
     session = need.prompt_parts[-1][0]
     nearest = min(state.nearness for state in states)
     near = [state.host_id for state in states if state.nearness == nearest]
-    return max(near, key=lambda host_id: xxhash.xxh32_intdigest(f"{session}/{host_id}"))
+    return max(near, key=lambda host_id: _rank(session, host_id))
+
+
+def _rank(session, host_id):
+    return xxhash.xxh32_intdigest(f"{session}/{host_id}".encode())
--- a/src/peridothitch/policy/token_quota.py
+++ b/src/peridothitch/policy/token_quota.py
@@ -15,8 +15,16 @@
 _EVEN_PART = 0.15
 """Part of a quota that all entry hosts share evenly; covers demand not yet seen."""
 
-_USED_EXCESS = 0.5
-"""Part of the permitted excess that is planned; the rest covers stale shares."""
+_USED_EXCESS = 0.75
+_USED_EXCESS_WHEN_FULL = 0.35
+"""Parts of the permitted excess that are planned; the rest covers stale shares.
+
+Less is planned for a customer that asks for all of its quota: its hosts then overdraw
+their shares all the time.
+"""
+
+_FULL = 0.9
+"""Part of a quota's rate from which a customer is taken to ask for all of it."""
 
 _DEMAND_SECONDS = 3.0
 """Time constant of the demand's average; above the reports' period of a second."""
@@ -44,7 +52,7 @@
     return (1 - _EVEN_PART) * min(1.0, demand / total_demand) + _EVEN_PART * even
 
 
-def bucket_depth(quota, promises):
+def bucket_depth(quota, promises, total_demand):
     """Return how many units all hosts may hand out at once.
 
     In the window that use is held against, the depth and the rate add up to less than
@@ -54,11 +62,15 @@
     ----------
     quota : peridothitch.ports.forwarding.Quota
     promises : peridothitch.ports.site.Promises
+    total_demand : float
+        Units a second asked for at all hosts.
     """
     window = promises.quota_window.total_seconds()
     whole = quota.rate * window + quota.burst
     excess = promises.quota_excess_share * whole + promises.quota_excess
-    return quota.burst + _USED_EXCESS * excess
+    is_full = total_demand > _FULL * quota.rate
+    used = _USED_EXCESS_WHEN_FULL if is_full else _USED_EXCESS
+    return quota.burst + used * excess
 
 
 @dataclasses.dataclass
