--- a/src/peridothitch/adapters/raw_front.py
+++ b/src/peridothitch/adapters/raw_front.py
@@ -14,7 +14,7 @@
 
 from peridothitch import errors
 from peridothitch.adapters import front_channel, wsgi_server
-from peridothitch.ports import raw
+from peridothitch.ports import forwarding, raw
 
 __all__ = ["RawServer"]
 
@@ -292,6 +292,7 @@
         self._server.adj.channel_timeout = _ENDLESS_SECONDS
         self._server.converse = converse
         self._server.is_draining = False
+        self.set_limits(forwarding.CallerLimits())
 
     def set_limits(self, limits):
         """Take new `peridothitch.ports.forwarding.CallerLimits`."""
--- a/src/peridothitch/gateway/forwarding/attempts.py
+++ b/src/peridothitch/gateway/forwarding/attempts.py
@@ -13,7 +13,6 @@
 import logbook
 
 from peridothitch import errors
-
 from peridothitch.ports import forwarding, raw
 
 __all__ = ["Attempt", "AttemptParts", "Attempts", "is_promise"]
--- a/src/peridothitch/gateway/forwarding/capacity_duty.py
+++ b/src/peridothitch/gateway/forwarding/capacity_duty.py
@@ -7,14 +7,17 @@
 
 from peridothitch import errors
 from peridothitch.policy import capacity_plan
-from peridothitch.ports import duties, upstream
+from peridothitch.ports import upstream
 
 __all__ = ["CapacityDuty"]
 
 _REPEAT_PERIOD = datetime.timedelta(seconds=4)
 """An order is repeated so that hosts that were taken back are replaced."""
 
-_REFUSED_PERIOD = datetime.timedelta(seconds=1)
+_REFUSED_PERIOD = datetime.timedelta(seconds=1.5)
+_SOLD_OUT_TIME = datetime.timedelta(seconds=4)
+"""After a refusal; the next tries come well within it."""
+
 _log = logbook.Logger(__name__)
 
 
@@ -41,6 +44,7 @@
         self._clock = clock
         self._metrics = metrics
         self._due_by_order = {}
+        self._sold_out_until = {}
         self._fencing_number = 0
 
     def step(self, permit):
@@ -59,25 +63,28 @@
 
     def _keep(self, service, busy):
         data_centres = sorted(self._site.region_by_data_centre)
-        wanted = capacity_plan.plan(
-            capacity_plan.Demand(busy_hosts=busy), service.scaling, data_centres
-        )
-        present = self._present(service.name)
+        supply = self._supply(service.name)
+        wanted = capacity_plan.plan(busy, service.scaling, data_centres, supply)
         for data_centre in data_centres:
             for order in capacity_plan.next_orders(
-                service, data_centre, wanted, present
+                service, data_centre, wanted, supply
             ):
-                self._order(order, present[data_centre, order.reclaimable])
+                self._order(order, supply.live[data_centre, order.reclaimable], busy)
 
-    def _present(self, service):
-        """Return the live hosts by data centre and kind."""
-        counts = collections.Counter()
+    def _supply(self, service):
+        live = collections.Counter()
         for host in self._catalogue.hosts().values():
             if host.service == service and host.state is upstream.HostState.LIVE:
-                counts[host.data_centre, host.reclaimable] += 1
-        return counts
+                live[host.data_centre, host.reclaimable] += 1
+        now = self._clock.monotonic()
+        sold_out = frozenset(
+            data_centre
+            for (name, data_centre), until in self._sold_out_until.items()
+            if name == service and now < until
+        )
+        return capacity_plan.Supply(live=live, sold_out=sold_out)
 
-    def _order(self, order, present):
+    def _order(self, order, present, busy):
         now = self._clock.monotonic()
         subject = order.service, order.data_centre, order.reclaimable
         count, due = self._due_by_order.get(subject, (None, now))
@@ -94,6 +101,10 @@
             raise errors.LeaseError("an order was refused for its number")
         period = _REPEAT_PERIOD if answer.accepted else _REFUSED_PERIOD
         self._due_by_order[subject] = order.count, now + period
+        if order.reclaimable:
+            place = order.service, order.data_centre
+            until = now if answer.accepted else now + _SOLD_OUT_TIME
+            self._sold_out_until[place] = until
         self._metrics.count("capacity_orders", accepted=int(answer.accepted))
         _log.info(
             "hosts ordered",
@@ -101,6 +112,7 @@
             data_centre=order.data_centre,
             count=order.count,
             present=present,
+            busy_hosts=busy,
             reclaimable=order.reclaimable,
             fencing_number=permit.fencing_number,
             accepted=answer.accepted,
--- a/src/peridothitch/gateway/forwarding/delivery.py
+++ b/src/peridothitch/gateway/forwarding/delivery.py
@@ -194,7 +194,7 @@
         )
 
     def _is_new(self, event):
-        """Return whether an event was not passed on yet; an upstream may repeat some."""
+        """Return whether an event is news; an upstream may repeat some."""
         number = event.number
         if number is not None:
             if self._last_number is not None and number <= self._last_number:
--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -17,6 +17,7 @@
     catalogue,
     duty_keeper,
     fleet_reports,
+    fleet_size,
     front,
     host_book,
     peer_sync,
@@ -34,11 +35,14 @@
 _CONNECTIONS = 1500
 """Callers' connections; with upstreams' they stay below a host's descriptors."""
 
+_ASSUMED_HOSTS = 8
+"""Entry hosts that one which has heard of none shares quotas and repeats with."""
+
 _BACKGROUND_THREADS = 24
 _INCARNATION_BYTES = 6
 _KEPT_WINDOWS = 8
 _TIDY_PERIOD = datetime.timedelta(milliseconds=250)
-_DRAIN_PART = 5 / 6
+_DRAIN_PART = 0.94
 """Part of the time until a process is killed in which its requests may end."""
 
 _QUIET_TIME = datetime.timedelta(milliseconds=1500)
@@ -135,6 +139,7 @@
             peers, self._find_holder, self._make_report, clock, self.metrics
         )
         self._reports.subscribe(self._quotas.take_view)
+        self._size = fleet_size.FleetSizeRecord(service, leases, self._reports)
         self._keeper = duty_keeper.DutyKeeper(
             self._lease,
             site.promises.lease_time,
@@ -201,7 +206,7 @@
 
     def _make_duties(self):
         client = self._platform.duties
-        duties = []
+        duties = [self._size]
         if client is not None and self._site.reports_usage:
             duties.append(
                 usage_duty.UsageDuty(
@@ -265,10 +270,11 @@
         self._stopping = True
         began = self._clock.monotonic()
         _log.info("draining", active=self._front.active)
+        latest = began + self._site.promises.grace * _DRAIN_PART
         self._server.drain()
+        self._front.drain(latest)
         self._keeper.release()
         self._fleet.leave()
-        latest = began + self._site.promises.grace * _DRAIN_PART
         while not self._may_end(began, latest):
             self._clock.wait(self._stop, datetime.timedelta(milliseconds=50))
         self._reports.send()
@@ -301,9 +307,12 @@
         self._transport.keep(host_by_id.values())
 
     def _count_hosts(self):
-        view = self._reports.view
+        """Return the number of entry hosts to share with, at least 1."""
         known = len(self._fleet.peers.members())
-        return max(known, view.host_count) if view is not None else known
+        view = self._reports.view
+        if view is not None:
+            return max(known, view.host_count)
+        return max(known, self._size.read() or _ASSUMED_HOSTS)
 
     def _find_holder(self):
         return self._keeper.find_holder()
@@ -335,5 +344,6 @@
             incarnation=self._incarnation,
             counts_by_window=counts,
             demand_by_customer=self._quotas.demand(),
+            share_by_customer=self._quotas.shares(),
             busy_by_service=self._busy.busy_by_service(),
         )
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -15,14 +15,15 @@
 
 from peridothitch import errors
 from peridothitch.coordination import relays
+from peridothitch.policy import quota_shares
 
 __all__ = ["FleetReports", "FleetView", "HostReport"]
 
 _METHOD = "forwarding.report"
 _PERIOD = datetime.timedelta(seconds=1)
 _TIMEOUT = datetime.timedelta(milliseconds=500)
-_DEMAND_LIFE = datetime.timedelta(seconds=10)
-"""A silent host's share of the quotas is kept for it this long."""
+_LOAD_LIFE = datetime.timedelta(seconds=5)
+"""Age at which a report says nothing of a host's load any more."""
 
 _COUNTS_LIFE = datetime.timedelta(seconds=60)
 _log = logbook.Logger(__name__)
@@ -39,6 +40,8 @@
         Requests begun by customer, of the last windows.
     demand_by_customer : dict of str to float
         Units of the quotas asked for, a second.
+    share_by_customer : dict of str to float
+        Shares of the quotas that this host uses.
     busy_by_service : dict of str to float
         Upstream hosts kept busy by this host's requests.
     """
@@ -47,20 +50,25 @@
     incarnation: str
     counts_by_window: dict[int, dict[str, int]]
     demand_by_customer: dict[str, float]
+    share_by_customer: dict[str, float]
     busy_by_service: dict[str, float]
 
 
 class FleetView(msgspec.Struct, frozen=True, array_like=True):
-    """Sums over all entry hosts.
+    """What the holder of the duties tells a host.
 
     Attributes
     ----------
     host_count : int
     demand_by_customer : dict of str to float
+        Units of the quotas asked for at all hosts, a second.
+    share_by_customer : dict of str to float
+        Shares of the quotas that the host may use from now on.
     """
 
     host_count: int
     demand_by_customer: dict[str, float]
+    share_by_customer: dict[str, float]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -96,12 +104,13 @@
         self._metrics = metrics
         self._lock = threading.Lock()
         self._received_by_process = {}
+        self._shares = quota_shares.QuotaShares()
         self._on_view = []
         self.view = None
         peers.register(_METHOD, self._answer)
 
     def subscribe(self, callback):
-        """Call ``callback(view, report)`` with each new view and own report."""
+        """Call ``callback(view)`` with each new `FleetView`."""
         self._on_view.append(callback)
 
     def run(self, stop):
@@ -117,9 +126,9 @@
         for host_id in self._recipients(holder):
             view = self._call(host_id, report)
             if view is not None and host_id == holder:
-                self._take(view, report)
+                self._take(view)
         if holder == self._peers.host_id:
-            self._take(self.fleet_view(), report)
+            self._take(self._view_for(report))
 
     def _recipients(self, holder):
         own = self._peers.host_id
@@ -138,10 +147,10 @@
             _log.debug("report to {} failed: {}", host_id, error)
             return None
 
-    def _take(self, view, report):
+    def _take(self, view):
         self.view = view
         for callback in self._on_view:
-            callback(view, report)
+            callback(view)
 
     def _answer(self, payload):
         try:
@@ -149,7 +158,7 @@
         except msgspec.MsgspecError as error:
             raise errors.PeerError(f"malformed report: {error}", True) from None
         self._keep(report)
-        return msgspec.msgpack.encode(self.fleet_view())
+        return msgspec.msgpack.encode(self._view_for(report))
 
     def _keep(self, report):
         now = self._clock.monotonic()
@@ -165,23 +174,27 @@
         newest_by_host = {}
         with self._lock:
             for found in self._received_by_process.values():
-                if now - found.at > _DEMAND_LIFE:
+                if now - found.at > _LOAD_LIFE:
                     continue
                 known = newest_by_host.get(found.report.host_id)
                 if known is None or known.at < found.at:
                     newest_by_host[found.report.host_id] = found
         return [found.report for found in newest_by_host.values()]
 
-    def fleet_view(self):
-        """Return the `FleetView` of the reports received here."""
-        demand_by_customer = {}
-        reports = self._fresh()
-        for report in reports:
-            for customer, demand in report.demand_by_customer.items():
-                known = demand_by_customer.get(customer, 0.0)
-                demand_by_customer[customer] = known + demand
-        host_count = max(len(reports), len(self._peers.members()))
-        return FleetView(host_count, demand_by_customer)
+    def _view_for(self, report):
+        now = self._clock.monotonic()
+        live = len(self._peers.members())
+        with self._lock:
+            shares = self._shares.grant(
+                report.host_id,
+                report.incarnation,
+                report.share_by_customer,
+                report.demand_by_customer,
+                live,
+                now,
+            )
+            host_count = max(live, self._shares.host_count)
+            return FleetView(host_count, self._shares.demand(), shares)
 
     def busy_by_service(self):
         """Return the upstream hosts kept busy by all entry hosts, by service."""
--- a/src/peridothitch/gateway/forwarding/front.py
+++ b/src/peridothitch/gateway/forwarding/front.py
@@ -15,6 +15,9 @@
 __all__ = ["Front"]
 
 _NOT_READY_RETRY_AFTER = datetime.timedelta(milliseconds=400)
+_DRAINING_RETRY_AFTER = datetime.timedelta(milliseconds=20)
+"""A retry reaches another entry host, so there is nothing to wait for."""
+
 _SUSPENDED_RETRY_AFTER = datetime.timedelta(seconds=5)
 _SECOND = datetime.timedelta(seconds=1)
 _log = logbook.Logger("forwarding")
@@ -40,6 +43,11 @@
         self._changed = threading.Condition()
         self._active = 0
         self._last_arrival = parts.clock.monotonic()
+        self._ends_at = None
+
+    def drain(self, ends_at):
+        """Refuse requests that would not end before a monotonic time."""
+        self._ends_at = ends_at
 
     @property
     def active(self):
@@ -161,6 +169,7 @@
             raise errors.RequestError(
                 errors.Code.DEADLINE_EXCEEDED, "it arrived too late"
             )
+        self._check_drain(job, now)
         found = parts.book.choose(
             job.service, job.need, versions=parts.allowed_versions(job)
         )
@@ -181,6 +190,18 @@
             retry_after=retry_after,
         )
 
+    def _check_drain(self, job, now):
+        if self._ends_at is None:
+            return
+        output = job.marks.expected_tokens or job.marks.output_tokens
+        if admission.fits_into(self._ends_at - now, job.route.objective, output):
+            return
+        raise errors.RequestError(
+            errors.Code.DRAINING,
+            "this entry host ends before the request would",
+            retry_after=_DRAINING_RETRY_AFTER,
+        )
+
     def _answer_error(self, request, conversation, error):
         marks_id = _request_id(self._parts.dialect, request)
         took = self._parts.clock.monotonic() - request.arrived
--- a/src/peridothitch/gateway/forwarding/quotas.py
+++ b/src/peridothitch/gateway/forwarding/quotas.py
@@ -4,13 +4,13 @@
 import threading
 
 from peridothitch import errors
-from peridothitch.policy import token_quota
+from peridothitch.policy import quota_shares, token_quota
 
 __all__ = ["QuotaBook"]
 
 _LONGEST_RETRY_AFTER = datetime.timedelta(seconds=5)
-_ASSUMED_HOSTS = 3
-"""Hosts that a host which has heard from none shares the quotas with."""
+_EXPIRED_PART = 0.25
+"""Part of an even share that is used once others may have been granted it."""
 
 
 class QuotaBook:
@@ -34,6 +34,7 @@
         self._bucket_by_name = {}
         self._share_by_name = {}
         self._total_by_name = {}
+        self._granted_at = None
 
     def take(self, customer, tokens):
         """Take what a request needs.
@@ -90,32 +91,34 @@
                 if bucket.demand >= 1.0
             }
 
-    def take_view(self, view, report):
-        """Take in what all hosts are asked for.
+    def shares(self):
+        """Return the shares that this host uses, by customer."""
+        with self._lock:
+            return dict(self._share_by_name)
 
-        Parameters
-        ----------
-        view : peridothitch.gateway.forwarding.fleet_reports.FleetView
-        report : peridothitch.gateway.forwarding.fleet_reports.HostReport
-            This host's part in it.
-        """
+    def take_view(self, view):
+        """Take in a `peridothitch.gateway.forwarding.fleet_reports.FleetView`."""
         with self._lock:
             self._total_by_name = dict(view.demand_by_customer)
-            self._share_by_name = {
-                name: token_quota.share_of(
-                    report.demand_by_customer.get(name, 0.0), total, view.host_count
-                )
-                for name, total in view.demand_by_customer.items()
-            }
+            self._share_by_name = dict(view.share_by_customer)
+            self._granted_at = self._clock.monotonic()
+
+    def _share(self, name):
+        even = 1.0 / self._host_count()
+        share = self._share_by_name.get(name, even)
+        if self._granted_at is None:
+            return share
+        age = self._clock.monotonic() - self._granted_at
+        if age > quota_shares.GRANT_LIFETIME:
+            return min(share, _EXPIRED_PART * even)
+        return share
 
     def _bucket(self, customer, now):
         bucket = self._bucket_by_name.get(customer.name)
         if bucket is None:
             bucket = token_quota.CustomerBucket()
             self._bucket_by_name[customer.name] = bucket
-        share = self._share_by_name.get(customer.name)
-        if share is None:
-            share = 1.0 / max(_ASSUMED_HOSTS, self._host_count())
+        share = self._share(customer.name)
         total = self._total_by_name.get(customer.name, 0.0)
         depth = token_quota.bucket_depth(customer.quota, self._promises, total)
         bucket.set_share(share * customer.quota.rate, share * depth, now)
--- a/src/peridothitch/gateway/forwarding/retry_budgets.py
+++ b/src/peridothitch/gateway/forwarding/retry_budgets.py
@@ -10,9 +10,6 @@
 _PLANNED_PART = 0.8
 """Part of the permitted repeats that is planned; the rest covers a wrong host count."""
 
-_ASSUMED_HOSTS = 3
-"""Hosts that a host which knows no other shares the repeats with."""
-
 
 class RetryBudgets:
     """Retry budgets by service.
@@ -53,8 +50,8 @@
         return False
 
     def _budget(self, service):
-        hosts = max(_ASSUMED_HOSTS, self._host_count())
-        capacity = _PLANNED_PART * self._promises.retry_allowance / hosts
+        allowance = _PLANNED_PART * self._promises.retry_allowance
+        capacity = allowance / self._host_count()
         budget = self._budget_by_service.get(service)
         if budget is None:
             ratio = _PLANNED_PART * self._promises.retry_share
--- a/src/peridothitch/platform/duties.py
+++ b/src/peridothitch/platform/duties.py
@@ -17,6 +17,7 @@
 _CONFLICT = 409
 _TOO_MANY = 429
 _UNAVAILABLE = 503
+_NONE_AVAILABLE = "to be had"
 _log = logbook.Logger(__name__)
 
 
@@ -73,15 +74,15 @@
             raise errors.CloudError(errors.Code.CLOUD_UNAVAILABLE, detail)
         if answer.status == _OK:
             return duties.DutyAnswer(True)
-        _log.info("duty call refused", path=path, answer=str(answer.fields)[:200])
         return duties.DutyAnswer(False, _is_superseded(answer), detail)
 
 
 def _is_superseded(answer):
     """Return whether a refusal is about the fencing number.
 
-    An order is also refused with this status when there are no hosts to be had.
+    An order is also refused with this status when there are no hosts to be had, which
+    only its text tells.
     """
     if answer.status != _CONFLICT:
         return False
-    return "fenc" in str(answer.fields).lower()
+    return _NONE_AVAILABLE not in str(answer.fields.get("error", ""))
--- a/src/peridothitch/policy/admission.py
+++ b/src/peridothitch/policy/admission.py
@@ -7,7 +7,7 @@
 
 import datetime
 
-__all__ = ["refuse_for"]
+__all__ = ["fits_into", "refuse_for"]
 
 _NO_TIME = datetime.timedelta(0)
 _LATE_FACTOR_BY_PRIORITY = (3.0, 2.6, 2.2)
@@ -17,6 +17,26 @@
 _LONGEST_RETRY = datetime.timedelta(seconds=2)
 
 
+_SECONDS_PER_TOKEN = 0.015
+"""Time between two tokens of a stream at a busy upstream."""
+
+
+def fits_into(time_left, objective, output_tokens):
+    """Return whether a request likely ends within the time left.
+
+    Parameters
+    ----------
+    time_left : datetime.timedelta
+        Until the entry host ends.
+    objective : datetime.timedelta
+        Time to the answer or its first event.
+    output_tokens : int
+        Expected length of a stream's answer, 0 for others.
+    """
+    generation = datetime.timedelta(seconds=_SECONDS_PER_TOKEN * output_tokens)
+    return objective * 2 + generation <= time_left
+
+
 def refuse_for(expected, objective, time_left, priority):
     """Return after which time a refused request may come back, None to admit it.
 
--- a/src/peridothitch/policy/capacity_plan.py
+++ b/src/peridothitch/policy/capacity_plan.py
@@ -2,7 +2,8 @@
 
 Reclaimable hosts cost a fraction of the others, and a data centre loses all of its
 reclaimable ones at once. So the load is spread over the data centres such that those
-that remain carry it when one is lost.
+that remain carry it when one is lost. Where no reclaimable hosts are to be had,
+on-demand hosts take their place until there are.
 """
 
 import dataclasses
@@ -10,30 +11,29 @@
 
 from peridothitch.ports import duties
 
-__all__ = ["CapacityPlan", "Demand", "next_orders", "plan"]
-
-_LOST_DATA_CENTRES = 1
-"""Reclaims strike one data centre at a time, though several may follow each other."""
+__all__ = ["CapacityPlan", "Supply", "hosts_needed", "next_orders", "plan"]
 
+_TARGET_USE = 0.3
+"""Part of its time that a host may be busy while answers are on time."""
 
 _LEAST_HOSTS = 2
 """Hosts in a data centre that serve while one of them is being replaced."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Demand:
-    """Load of a service.
+class Supply:
+    """What a service has and what can be had.
 
     Attributes
     ----------
-    busy_hosts : float
-        Hosts that would be busy all the time with the current load.
-    target_use : float
-        Part of its time that a host may be busy while answers are on time.
+    live : dict of (str, bool) to int
+        Live hosts by data centre and whether they are reclaimable.
+    sold_out : frozenset of str
+        Data centres that lately had no reclaimable hosts to offer.
     """
 
-    busy_hosts: float
-    target_use: float = 0.3
+    live: dict
+    sold_out: frozenset = frozenset()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,28 +49,64 @@
     on_demand_by_data_centre: dict
 
 
-def plan(demand, scaling, data_centres):
+def hosts_needed(busy_hosts):
+    """Return the hosts that serve a load in time.
+
+    Parameters
+    ----------
+    busy_hosts : float
+        Hosts that would be busy all the time with the load.
+    """
+    return max(_LEAST_HOSTS, math.ceil(busy_hosts / _TARGET_USE))
+
+
+def plan(busy_hosts, scaling, data_centres, supply):
     """Return the `CapacityPlan` for a service.
 
     Parameters
     ----------
-    demand : Demand
+    busy_hosts : float
+        Hosts that would be busy all the time with the load.
     scaling : peridothitch.ports.forwarding.Scaling
     data_centres : sequence of str
         Where the service may run.
+    supply : Supply
     """
-    least = max(_LEAST_HOSTS, scaling.least)
-    needed = demand.busy_hosts / demand.target_use
-    remaining = max(1, len(data_centres) - _LOST_DATA_CENTRES)
-    each = min(scaling.most, max(least, math.ceil(needed / remaining)))
+    needed = hosts_needed(busy_hosts)
+    remaining = max(1, len(data_centres) - 1)
+    each = max(_LEAST_HOSTS, scaling.least, math.ceil(needed / remaining))
+    each = min(scaling.most, each)
     if scaling.reclaimable_price is None:
         return CapacityPlan({}, dict.fromkeys(data_centres, each))
-    return CapacityPlan(
-        dict.fromkeys(data_centres, each), dict.fromkeys(data_centres, 0)
-    )
+    on_demand = dict.fromkeys(data_centres, 0)
+    if supply.sold_out:
+        on_demand = _substitutes(needed, scaling, data_centres, supply)
+    return CapacityPlan(dict.fromkeys(data_centres, each), on_demand)
+
+
+def _substitutes(needed, scaling, data_centres, supply):
+    """Return on-demand hosts for what is missing should one more data centre go."""
+    live = {name: supply.live.get((name, True), 0) for name in data_centres}
+    missing = needed - (sum(live.values()) - max(live.values(), default=0))
+    prices = scaling.price_by_data_centre
+    counts = dict.fromkeys(data_centres, 0)
+    while missing > 0:
+        rooms = [
+            name for name in data_centres if live[name] + counts[name] < scaling.most
+        ]
+        if not rooms:
+            break
+        # Spread first, then by price, so that each data centre has some near its
+        # callers.
+        chosen = min(
+            rooms, key=lambda name: (live[name] + counts[name], prices.get(name, 1.0))
+        )
+        counts[chosen] += 1
+        missing -= 1
+    return counts
 
 
-def next_orders(service, data_centre, wanted, present):
+def next_orders(service, data_centre, wanted, supply):
     """Return the orders for one data centre that lead towards a plan.
 
     On-demand hosts are given up only once the reclaimable ones that replace them serve,
@@ -81,8 +117,7 @@
     service : peridothitch.ports.forwarding.Service
     data_centre : str
     wanted : CapacityPlan
-    present : dict of (str, bool) to int
-        Live hosts by data centre and whether they are reclaimable.
+    supply : Supply
 
     Returns
     -------
@@ -90,10 +125,10 @@
     """
     reclaimable = wanted.reclaimable_by_data_centre.get(data_centre, 0)
     on_demand = wanted.on_demand_by_data_centre.get(data_centre, 0)
-    on_demand_now = present.get((data_centre, False), 0)
-    room = max(0, service.scaling.most - on_demand_now)
+    on_demand_now = supply.live.get((data_centre, False), 0)
+    room = max(0, service.scaling.most - max(on_demand, on_demand_now))
     reclaimable = min(reclaimable, room)
-    if present.get((data_centre, True), 0) < reclaimable:
+    if supply.live.get((data_centre, True), 0) < reclaimable:
         on_demand = max(on_demand, on_demand_now)
     counts = [(True, reclaimable)]
     if on_demand or on_demand_now:
--- a/src/peridothitch/policy/token_quota.py
+++ b/src/peridothitch/policy/token_quota.py
@@ -29,6 +29,9 @@
 _DEMAND_SECONDS = 3.0
 """Time constant of the demand's average; above the reports' period of a second."""
 
+_FIRST_PART = 0.3
+"""Part of its depth that a new bucket holds; its process may have just restarted."""
+
 _LOWEST_RATE = 1e-9
 
 
@@ -101,7 +104,7 @@
         self._advance(now)
         self.rate = rate
         self.depth = depth
-        self.balance = depth if is_new else min(self.balance, depth)
+        self.balance = _FIRST_PART * depth if is_new else min(self.balance, depth)
 
     def ask(self, units, now):
         """Take `units` unless the bucket is empty; returns whether they were taken."""
