--- a/src/peridothitch/gateway/forwarding/catalogue.py
+++ b/src/peridothitch/gateway/forwarding/catalogue.py
@@ -48,6 +48,7 @@
         self._decoded_by_key = {}
         self._lapsed_by_key = {}
         self._host_by_id = {}
+        self._known = threading.Event()
         self._on_table = []
         self._on_hosts = []
         self.table = None
@@ -61,6 +62,15 @@
         """Whether rules and hosts are known."""
         return self.table is not None and self._hosts.is_known
 
+    def wait_known(self, timeout):
+        """Wait until rules and hosts are known; returns whether they are.
+
+        Parameters
+        ----------
+        timeout : datetime.timedelta
+        """
+        return self.is_known or self._clock.wait(self._known, timeout)
+
     def subscribe(self, on_table, on_hosts):
         """Call ``on_table(table)`` and ``on_hosts(hosts by id)`` after changes."""
         self._on_table.append(on_table)
@@ -98,6 +108,8 @@
         )
         for callback in self._on_table:
             callback(table)
+        if self.is_known:
+            self._known.set()
 
     def _decode_moves(self, items):
         move_by_service = {}
@@ -194,3 +206,5 @@
         self._metrics.set("upstream_hosts", len(host_by_id))
         for callback in self._on_hosts:
             callback(host_by_id)
+        if self.is_known:
+            self._known.set()
--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -301,6 +301,7 @@
 
     def _take_table(self, table):
         self._server.set_limits(table.limits)
+        self._quotas.take_table(table)
 
     def _take_hosts(self, host_by_id):
         self._book.update(host_by_id)
@@ -345,5 +346,6 @@
             counts_by_window=counts,
             demand_by_customer=self._quotas.demand(),
             share_by_customer=self._quotas.shares(),
+            used_by_customer=self._quotas.used(),
             busy_by_service=self._busy.busy_by_service(),
         )
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -21,6 +21,9 @@
 
 _METHOD = "forwarding.report"
 _PERIOD = datetime.timedelta(seconds=1)
+_FIRST_PERIOD = datetime.timedelta(milliseconds=200)
+"""Until a holder has answered for the first time."""
+
 _TIMEOUT = datetime.timedelta(milliseconds=500)
 _LOAD_LIFE = datetime.timedelta(seconds=5)
 """Age at which a report says nothing of a host's load any more."""
@@ -41,7 +44,9 @@
     demand_by_customer : dict of str to float
         Units of the quotas asked for, a second.
     share_by_customer : dict of str to float
-        Shares of the quotas that this host uses.
+        Shares of the quotas that this host may use.
+    used_by_customer : dict of str to float
+        Parts of the quotas that it used in the last span.
     busy_by_service : dict of str to float
         Upstream hosts kept busy by this host's requests.
     """
@@ -51,6 +56,7 @@
     counts_by_window: dict[int, dict[str, int]]
     demand_by_customer: dict[str, float]
     share_by_customer: dict[str, float]
+    used_by_customer: dict[str, float]
     busy_by_service: dict[str, float]
 
 
@@ -115,7 +121,7 @@
 
     def run(self, stop):
         """Report until the event `stop` is set, and once more then."""
-        while not self._clock.wait(stop, _PERIOD):
+        while not self._clock.wait(stop, _PERIOD if self.view else _FIRST_PERIOD):
             self.send()
 
     def send(self):
@@ -185,14 +191,7 @@
         now = self._clock.monotonic()
         live = len(self._peers.members())
         with self._lock:
-            shares = self._shares.grant(
-                report.host_id,
-                report.incarnation,
-                report.share_by_customer,
-                report.demand_by_customer,
-                live,
-                now,
-            )
+            shares = self._shares.grant(_quota_report(report), live, now)
             host_count = max(live, self._shares.host_count)
             return FleetView(host_count, self._shares.demand(), shares)
 
@@ -211,3 +210,13 @@
                 f"{host_id}/{incarnation}": found.report.counts_by_window
                 for (host_id, incarnation), found in self._received_by_process.items()
             }
+
+
+def _quota_report(report):
+    return quota_shares.QuotaReport(
+        host_id=report.host_id,
+        incarnation=report.incarnation,
+        share_by_customer=report.share_by_customer,
+        used_by_customer=report.used_by_customer,
+        demand_by_customer=report.demand_by_customer,
+    )
--- a/src/peridothitch/gateway/forwarding/front.py
+++ b/src/peridothitch/gateway/forwarding/front.py
@@ -14,6 +14,9 @@
 
 __all__ = ["Front"]
 
+_START_TIME = datetime.timedelta(milliseconds=150)
+"""How long a request waits for the rules; a host that starts has them before that."""
+
 _NOT_READY_RETRY_AFTER = datetime.timedelta(milliseconds=400)
 _DRAINING_RETRY_AFTER = datetime.timedelta(milliseconds=20)
 """A retry reaches another entry host, so there is nothing to wait for."""
@@ -91,8 +94,9 @@
 
     def _to_job(self, request):
         catalogue = self._catalogue
+        is_known = catalogue.wait_known(_START_TIME)
         table, routes = catalogue.table, catalogue.routes
-        if not catalogue.is_known:
+        if not is_known:
             raise errors.RequestError(
                 errors.Code.NOT_READY,
                 "rules or hosts are not known yet",
--- a/src/peridothitch/gateway/forwarding/quotas.py
+++ b/src/peridothitch/gateway/forwarding/quotas.py
@@ -1,6 +1,7 @@
 """Holds customers to their quotas over all entry hosts."""
 
 import datetime
+import random
 import threading
 
 from peridothitch import errors
@@ -14,7 +15,7 @@
 
 
 class QuotaBook:
-    """Token buckets of all customers at this host.
+    """Meters of all customers at this host.
 
     Parameters
     ----------
@@ -31,11 +32,24 @@
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
-        self._bucket_by_name = {}
+        self._meter_by_name = {}
+        self._whole_by_name = {}
         self._share_by_name = {}
-        self._total_by_name = {}
+        self._random = random.Random()
         self._granted_at = None
 
+    def take_table(self, table):
+        """Begin to count for the customers of a `peridothitch.ports.forwarding.Table`.
+
+        What a process that was here before let pass is forgotten; a new meter assumes
+        some use, which has faded when the first request comes.
+        """
+        now = self._clock.monotonic().total_seconds()
+        with self._lock:
+            for customer in table.customer_by_key.values():
+                if customer.quota is not None:
+                    self._meter(customer, now)
+
     def take(self, customer, tokens):
         """Take what a request needs.
 
@@ -63,46 +77,65 @@
             units = float(tokens or quota.default_tokens)
         now = self._clock.monotonic().total_seconds()
         with self._lock:
-            bucket = self._bucket(customer, now)
-            if bucket.ask(units, now):
+            meter = self._meter(customer, now)
+            if meter.ask(units, now):
                 return units
-            wait = datetime.timedelta(seconds=min(60.0, bucket.wait_seconds()))
+            wait = datetime.timedelta(seconds=meter.wait_seconds(units, now))
         self._metrics.count("quota_refusals", customer=customer.name)
         raise errors.RequestError(
             errors.Code.QUOTA_REACHED,
             f"customer {customer.name} may use {quota.rate:.0f} a second; here "
-            f"{bucket.rate:.0f}, asked for {bucket.demand:.0f}, wanted {units:.0f}",
+            f"{meter.limit:.0f} in a span, asked for {meter.demand(now):.0f} a second, "
+            f"wanted {units:.0f}",
             retry_after=min(wait, _LONGEST_RETRY_AFTER),
         )
 
     def give_back(self, customer, units):
         """Return the units of a request that did not run."""
         with self._lock:
-            bucket = self._bucket_by_name.get(customer.name)
-            if bucket is not None and units:
-                bucket.give_back(units)
+            meter = self._meter_by_name.get(customer.name)
+            if meter is not None and units:
+                meter.give_back(units)
 
     def demand(self):
         """Return the units a second asked for here, by customer."""
+        now = self._clock.monotonic().total_seconds()
         with self._lock:
-            return {
-                name: round(bucket.demand, 1)
-                for name, bucket in self._bucket_by_name.items()
-                if bucket.demand >= 1.0
+            demands = {
+                name: round(meter.demand(now), 1)
+                for name, meter in self._meter_by_name.items()
             }
+        return {name: demand for name, demand in demands.items() if demand >= 1.0}
 
     def shares(self):
         """Return the shares that this host uses, by customer."""
         with self._lock:
             return dict(self._share_by_name)
 
+    def used(self):
+        """Return the parts of whole quotas used here in the last span, by customer."""
+        now = self._clock.monotonic().total_seconds()
+        with self._lock:
+            return {
+                name: round(meter.used(now) / self._whole_by_name[name], 4)
+                for name, meter in self._meter_by_name.items()
+            }
+
     def take_view(self, view):
         """Take in a `peridothitch.gateway.forwarding.fleet_reports.FleetView`."""
         with self._lock:
-            self._total_by_name = dict(view.demand_by_customer)
             self._share_by_name = dict(view.share_by_customer)
+            if self._granted_at is None:
+                self._correct_assumed(view.demand_by_customer)
             self._granted_at = self._clock.monotonic()
 
+    def _correct_assumed(self, demand_by_customer):
+        window = self._promises.quota_window.total_seconds()
+        host_count = self._host_count()
+        for name, meter in self._meter_by_name.items():
+            used = demand_by_customer.get(name, 0.0) * window / host_count
+            meter.correct_assumed(used / meter.limit if meter.limit else 1.0)
+
     def _share(self, name):
         even = 1.0 / self._host_count()
         share = self._share_by_name.get(name, even)
@@ -113,13 +146,14 @@
             return min(share, _EXPIRED_PART * even)
         return share
 
-    def _bucket(self, customer, now):
-        bucket = self._bucket_by_name.get(customer.name)
-        if bucket is None:
-            bucket = token_quota.CustomerBucket()
-            self._bucket_by_name[customer.name] = bucket
-        share = self._share(customer.name)
-        total = self._total_by_name.get(customer.name, 0.0)
-        depth = token_quota.bucket_depth(customer.quota, self._promises, total)
-        bucket.set_share(share * customer.quota.rate, share * depth, now)
-        return bucket
+    def _meter(self, customer, now):
+        whole = token_quota.window_limit(customer.quota, self._promises)
+        self._whole_by_name[customer.name] = whole
+        limit = self._share(customer.name) * whole
+        meter = self._meter_by_name.get(customer.name)
+        if meter is None:
+            window = self._promises.quota_window.total_seconds()
+            meter = token_quota.CustomerMeter(window, limit, now, self._random)
+            self._meter_by_name[customer.name] = meter
+        meter.limit = limit
+        return meter
--- a/src/peridothitch/policy/capacity_plan.py
+++ b/src/peridothitch/policy/capacity_plan.py
@@ -13,11 +13,14 @@
 
 __all__ = ["CapacityPlan", "Supply", "hosts_needed", "next_orders", "plan"]
 
-_TARGET_USE = 0.3
+_TARGET_USE = 0.5
 """Part of its time that a host may be busy while answers are on time."""
 
-_LEAST_HOSTS = 2
-"""Hosts in a data centre that serve while one of them is being replaced."""
+_SUBSTITUTE_USE = 0.8
+"""Part of its time that a host may be busy before on-demand hosts are paid for."""
+
+_LEAST_HOSTS = 3
+"""Hosts in a data centre that hold a burst until more of them have started."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -49,15 +52,17 @@
     on_demand_by_data_centre: dict
 
 
-def hosts_needed(busy_hosts):
+def hosts_needed(busy_hosts, target_use=_TARGET_USE):
     """Return the hosts that serve a load in time.
 
     Parameters
     ----------
     busy_hosts : float
         Hosts that would be busy all the time with the load.
+    target_use : float
+        Part of its time that a host may be busy.
     """
-    return max(_LEAST_HOSTS, math.ceil(busy_hosts / _TARGET_USE))
+    return math.ceil(busy_hosts / target_use)
 
 
 def plan(busy_hosts, scaling, data_centres, supply):
@@ -80,14 +85,15 @@
         return CapacityPlan({}, dict.fromkeys(data_centres, each))
     on_demand = dict.fromkeys(data_centres, 0)
     if supply.sold_out:
-        on_demand = _substitutes(needed, scaling, data_centres, supply)
+        missing = hosts_needed(busy_hosts, _SUBSTITUTE_USE)
+        on_demand = _substitutes(missing, scaling, data_centres, supply)
     return CapacityPlan(dict.fromkeys(data_centres, each), on_demand)
 
 
 def _substitutes(needed, scaling, data_centres, supply):
-    """Return on-demand hosts for what is missing should one more data centre go."""
+    """Return on-demand hosts for what reclaimable ones are missing now."""
     live = {name: supply.live.get((name, True), 0) for name in data_centres}
-    missing = needed - (sum(live.values()) - max(live.values(), default=0))
+    missing = needed - sum(live.values())
     prices = scaling.price_by_data_centre
     counts = dict.fromkeys(data_centres, 0)
     while missing > 0:
--- a/src/peridothitch/policy/quota_shares.py
+++ b/src/peridothitch/policy/quota_shares.py
@@ -10,7 +10,7 @@
 
 from peridothitch.policy import token_quota
 
-__all__ = ["GRANT_LIFETIME", "QuotaShares"]
+__all__ = ["GRANT_LIFETIME", "QuotaReport", "QuotaShares"]
 
 GRANT_LIFETIME = datetime.timedelta(seconds=30)
 """Time that a host may use its last shares without hearing from the granting host."""
@@ -19,10 +19,34 @@
 """How much longer the granting host counts a grant than the one that uses it."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class QuotaReport:
+    """What a host tells of the quotas.
+
+    Attributes
+    ----------
+    host_id, incarnation : str
+        The host and its process.
+    share_by_customer : dict of str to float
+        Shares that the host may use, granted by whom ever.
+    used_by_customer : dict of str to float
+        Parts of the quotas that it used in the last span.
+    demand_by_customer : dict of str to float
+        Units a second that it was asked for.
+    """
+
+    host_id: str
+    incarnation: str
+    share_by_customer: dict
+    used_by_customer: dict
+    demand_by_customer: dict
+
+
 @dataclasses.dataclass(frozen=True)
 class _Grant:
     incarnation: str
     share_by_customer: dict
+    used_by_customer: dict
     demand_by_customer: dict
     at: datetime.timedelta
 
@@ -38,17 +62,12 @@
         """Hosts whose grants are counted."""
         return len(self._grant_by_host)
 
-    def grant(self, host_id, incarnation, used, demand_by_customer, host_count, now):
+    def grant(self, report, host_count, now):
         """Grant shares to a host that reports.
 
         Parameters
         ----------
-        host_id, incarnation : str
-            The host and its process; a new process holds nothing of the former one.
-        used : dict of str to float
-            Shares that the host uses, granted by whom ever.
-        demand_by_customer : dict of str to float
-            Units a second asked for at the host.
+        report : QuotaReport
         host_count : int
             Hosts believed live.
         now : datetime.timedelta
@@ -59,11 +78,16 @@
             Customers that aren't in it are shared evenly.
         """
         self._expire(now)
+        host_id = report.host_id
         known = self._grant_by_host.get(host_id)
-        if known is None or known.incarnation != incarnation:
-            known = _Grant(incarnation, dict(used), {}, now)
+        if known is None or known.incarnation != report.incarnation:
+            # A new process holds nothing of the former one.
+            known = _Grant(report.incarnation, report.share_by_customer, {}, {}, now)
         known = dataclasses.replace(
-            known, demand_by_customer=dict(demand_by_customer), at=now
+            known,
+            used_by_customer=report.used_by_customer,
+            demand_by_customer=report.demand_by_customer,
+            at=now,
         )
         self._grant_by_host[host_id] = known
         count = max(host_count, len(self._grant_by_host))
@@ -99,8 +123,13 @@
             grant.demand_by_customer.get(customer, 0.0)
             for grant in self._grant_by_host.values()
         )
+        # What a host has used counts until it is out of the span, also if its share has
+        # become smaller meanwhile.
         taken = sum(
-            grant.share_by_customer.get(customer, even)
+            max(
+                grant.share_by_customer.get(customer, even),
+                grant.used_by_customer.get(customer, 0.0),
+            )
             for other_id, grant in self._grant_by_host.items()
             if other_id != host_id
         )
--- a/src/peridothitch/policy/token_quota.py
+++ b/src/peridothitch/policy/token_quota.py
@@ -1,38 +1,31 @@
-"""Shares one customer's quota among entry hosts without a call for each request.
+"""Holds one customer to its part of a quota at one entry host.
 
-Every entry host has a token bucket with its share of the customer's rate and of what
-may be used at once. The shares follow demand, with a part that is equal for all, so
-that a host whose demand has just begun is not left with nothing. A request is admitted
-while the bucket isn't empty and may overdraw it once: at many hosts a share is smaller
-than a request.
+A quota bounds what a customer may use in any span of a given length. Each entry host
+counts what it let pass in the last span and compares it with its share. Requests are
+large against a host's share, so one that would only partly fit is admitted by chance,
+in proportion to the part that fits: over all hosts as much is let pass as if the shares
+were not split.
 """
 
+import collections
 import dataclasses
 import math
 
-__all__ = ["CustomerBucket", "bucket_depth", "share_of"]
+__all__ = ["CustomerMeter", "share_of", "window_limit"]
 
 _EVEN_PART = 0.15
 """Part of a quota that all entry hosts share evenly; covers demand not yet seen."""
 
-_USED_EXCESS = 0.75
-_USED_EXCESS_WHEN_FULL = 0.35
-"""Parts of the permitted excess that are planned; the rest covers stale shares.
-
-Less is planned for a customer that asks for all of its quota: its hosts then overdraw
-their shares all the time.
-"""
-
-_FULL = 0.9
-"""Part of a quota's rate from which a customer is taken to ask for all of it."""
+_USED_EXCESS = 0.6
+"""Part of the permitted excess that is planned; the rest covers restarts and chance."""
 
 _DEMAND_SECONDS = 3.0
 """Time constant of the demand's average; above the reports' period of a second."""
 
-_FIRST_PART = 0.3
-"""Part of its depth that a new bucket holds; its process may have just restarted."""
+_ASSUMED_USE = 0.9
+"""Part of its share that a new process takes to be used by the one before it."""
 
-_LOWEST_RATE = 1e-9
+_ASSUMED_STEPS = 8
 
 
 def share_of(demand, total_demand, host_count):
@@ -55,80 +48,118 @@
     return (1 - _EVEN_PART) * min(1.0, demand / total_demand) + _EVEN_PART * even
 
 
-def bucket_depth(quota, promises, total_demand):
-    """Return how many units all hosts may hand out at once.
-
-    In the window that use is held against, the depth and the rate add up to less than
-    the quota and its permitted excess.
+def window_limit(quota, promises):
+    """Return the units that a customer may use at all hosts in one span.
 
     Parameters
     ----------
     quota : peridothitch.ports.forwarding.Quota
     promises : peridothitch.ports.site.Promises
-    total_demand : float
-        Units a second asked for at all hosts.
     """
-    window = promises.quota_window.total_seconds()
-    whole = quota.rate * window + quota.burst
+    whole = quota.rate * promises.quota_window.total_seconds() + quota.burst
     excess = promises.quota_excess_share * whole + promises.quota_excess
-    is_full = total_demand > _FULL * quota.rate
-    used = _USED_EXCESS_WHEN_FULL if is_full else _USED_EXCESS
-    return quota.burst + used * excess
+    return whole + _USED_EXCESS * excess
 
 
-@dataclasses.dataclass
-class CustomerBucket:
-    """What one entry host may still hand out to one customer.
+@dataclasses.dataclass(frozen=True)
+class _Use:
+    at: float
+    units: float
+
+
+class CustomerMeter:
+    """What one customer used at this host in the last span.
 
     All times are monotonic seconds.
 
-    Attributes
+    Parameters
     ----------
-    rate, depth : float
-        This host's units a second, and the most that it saves up.
-    balance : float
-        Units left; below 0 after a request that overdrew it.
-    demand : float
-        Units a second asked for, averaged.
+    window : float
+        Length of the span.
+    limit : float
+        Units that this host may let pass in a span.
+    now : float
+    random_source : random.Random
     """
 
-    rate: float = 0.0
-    depth: float = 0.0
-    balance: float = 0.0
-    demand: float = 0.0
-    _updated: float = math.nan
-
-    def set_share(self, rate, depth, now):
-        """Take a new share; a new bucket begins with a part of its depth."""
-        is_new = math.isnan(self._updated)
-        self._advance(now)
-        self.rate = rate
-        self.depth = depth
-        self.balance = _FIRST_PART * depth if is_new else min(self.balance, depth)
+    def __init__(self, window, limit, now, random_source):
+        self._window = window
+        self._random = random_source
+        self._uses = collections.deque()
+        self._used = 0.0
+        self._demand = 0.0
+        self._demand_at = now
+        self.limit = limit
+        self._assumed = set()
+        for step in range(_ASSUMED_STEPS):
+            at = now - window * (1 - (step + 1) / _ASSUMED_STEPS)
+            use = _Use(at, _ASSUMED_USE * limit / _ASSUMED_STEPS)
+            self._assumed.add(use)
+            self._add(use)
+
+    def correct_assumed(self, part):
+        """Lower what a former process is taken to have used.
+
+        Parameters
+        ----------
+        part : float
+            Part of its share that it can have used by the customer's demand.
+        """
+        scale = min(1.0, part / _ASSUMED_USE)
+        uses = list(self._uses)
+        self._uses.clear()
+        self._used = 0.0
+        for use in uses:
+            if use in self._assumed:
+                use = _Use(use.at, use.units * scale)
+            self._add(use)
+        self._assumed.clear()
+
+    def demand(self, now):
+        """Return the units a second asked for, averaged."""
+        passed = max(0.0, now - self._demand_at)
+        return self._demand * math.exp(-passed / _DEMAND_SECONDS)
+
+    def used(self, now):
+        """Return the units used in the last span."""
+        self._forget(now)
+        return self._used
 
     def ask(self, units, now):
-        """Take `units` unless the bucket is empty; returns whether they were taken."""
-        self._advance(now)
-        self.demand += units / _DEMAND_SECONDS
-        if self.balance <= 0:
+        """Let a request pass if it fits; returns whether it did."""
+        self._forget(now)
+        self._demand = self.demand(now) + units / _DEMAND_SECONDS
+        self._demand_at = now
+        if self._used + units * self._random.random() > self.limit:
             return False
-        self.balance -= units
+        self._add(_Use(now, units))
         return True
 
     def give_back(self, units):
         """Return the units of a request that did not run."""
-        self.balance = min(self.depth, self.balance + units)
-
-    def wait_seconds(self):
-        """Return how long it takes until the bucket isn't empty."""
-        if self.balance > 0:
-            return 0.0
-        return -self.balance / max(self.rate, _LOWEST_RATE)
-
-    def _advance(self, now):
-        if math.isnan(self._updated):
-            self._updated = now
-        passed = max(0.0, now - self._updated)
-        self._updated = now
-        self.balance = min(self.depth, self.balance + passed * self.rate)
-        self.demand *= math.exp(-passed / _DEMAND_SECONDS)
+        for index in range(len(self._uses) - 1, -1, -1):
+            if self._uses[index].units == units:
+                del self._uses[index]
+                self._used -= units
+                return
+
+    def wait_seconds(self, units, now):
+        """Return how long it takes until a request of a size likely fits."""
+        excess = self._used + units / 2 - self.limit
+        for use in self._uses:
+            if excess <= 0:
+                return 0.0
+            excess -= use.units
+            if excess <= 0:
+                return max(0.0, use.at + self._window - now)
+        return self._window
+
+    def _add(self, use):
+        self._uses.append(use)
+        self._used += use.units
+
+    def _forget(self, now):
+        while self._uses and self._uses[0].at <= now - self._window:
+            self._used -= self._uses.popleft().units
+        if not self._uses:
+            self._used = 0.0
