--- a/src/peridothitch/gateway/forwarding/busy_meter.py
+++ b/src/peridothitch/gateway/forwarding/busy_meter.py
@@ -8,6 +8,9 @@
 _AVERAGE_SECONDS = 3.0
 """Time constant; a burst shows within it, a single long prompt doesn't."""
 
+_LEAST_AGE_SECONDS = 0.7
+"""Less time says too little about the load."""
+
 _TOKENS_PER_SECOND = 100_000.0
 """Prompt tokens that a host reads in a second when it does nothing else."""
 
@@ -27,6 +30,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._busy_by_service = {}
+        self._began = None
 
     def note(self, job, estimate):
         """Note a request that was admitted or refused for load."""
@@ -37,6 +41,8 @@
         )
         now = self._clock.monotonic().total_seconds()
         with self._lock:
+            if self._began is None:
+                self._began = now
             busy, at = self._busy_by_service.get(job.service, (0.0, now))
             faded = busy * math.exp(-(now - at) / _AVERAGE_SECONDS)
             self._busy_by_service[job.service] = (
@@ -48,7 +54,14 @@
         """Return the hosts kept busy, by service."""
         now = self._clock.monotonic().total_seconds()
         with self._lock:
+            if self._began is None:
+                return {}
+            # An average over less time than its constant would be too low.
+            age = max(_LEAST_AGE_SECONDS, now - self._began)
+            known = 1 - math.exp(-age / _AVERAGE_SECONDS)
             return {
-                service: round(busy * math.exp(-(now - at) / _AVERAGE_SECONDS), 3)
+                service: round(
+                    busy * math.exp(-(now - at) / _AVERAGE_SECONDS) / known, 3
+                )
                 for service, (busy, at) in self._busy_by_service.items()
             }
--- a/src/peridothitch/gateway/forwarding/capacity_duty.py
+++ b/src/peridothitch/gateway/forwarding/capacity_duty.py
@@ -18,6 +18,9 @@
 _SOLD_OUT_TIME = datetime.timedelta(seconds=4)
 """After a refusal; the next tries come well within it."""
 
+_WAVE_TIME = datetime.timedelta(seconds=8)
+"""Time after a reclaim in which the next data centre is likely to follow."""
+
 _log = logbook.Logger(__name__)
 
 
@@ -45,6 +48,9 @@
         self._metrics = metrics
         self._due_by_order = {}
         self._sold_out_until = {}
+        self._load_by_service = {}
+        self._reclaimable_by_service = {}
+        self._last_loss_by_service = {}
         self._fencing_number = 0
 
     def step(self, permit):
@@ -59,7 +65,15 @@
         for service in table.service_by_name.values():
             if service.scaling is not None:
                 busy = busy_by_service.get(service.name, 0.0)
-                self._keep(service, busy)
+                self._keep(service, self._steady(service.name, busy))
+
+    def _steady(self, service, busy):
+        now = self._clock.monotonic()
+        before, at = self._load_by_service.get(service, (0.0, now))
+        passed = (now - at).total_seconds()
+        steady = capacity_plan.steady_load(before, busy, passed)
+        self._load_by_service[service] = steady, now
+        return round(steady, 2)
 
     def _keep(self, service, busy):
         data_centres = sorted(self._site.region_by_data_centre)
@@ -77,12 +91,23 @@
             if host.service == service and host.state is upstream.HostState.LIVE:
                 live[host.data_centre, host.reclaimable] += 1
         now = self._clock.monotonic()
+        reclaimable = sum(
+            count for (_, is_reclaimable), count in live.items() if is_reclaimable
+        )
+        if reclaimable < self._reclaimable_by_service.get(service, 0):
+            self._last_loss_by_service[service] = now
+        self._reclaimable_by_service[service] = reclaimable
+        last_loss = self._last_loss_by_service.get(service)
         sold_out = frozenset(
             data_centre
             for (name, data_centre), until in self._sold_out_until.items()
             if name == service and now < until
         )
-        return capacity_plan.Supply(live=live, sold_out=sold_out)
+        return capacity_plan.Supply(
+            live=live,
+            sold_out=sold_out,
+            is_wave=last_loss is not None and now - last_loss < _WAVE_TIME,
+        )
 
     def _order(self, order, present, busy):
         now = self._clock.monotonic()
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -70,6 +70,8 @@
         Units of the quotas asked for at all hosts, a second.
     share_by_customer : dict of str to float
         Shares of the quotas that the host may use from now on.
+    age_seconds : float
+        How long the holder has known the demand.
     """
 
     host_count: int
@@ -193,7 +195,8 @@
         with self._lock:
             shares = self._shares.grant(_quota_report(report), live, now)
             host_count = max(live, self._shares.host_count)
-            return FleetView(host_count, self._shares.demand(), shares)
+            age = self._shares.age(now).total_seconds()
+            return FleetView(host_count, self._shares.demand(), shares, age)
 
     def busy_by_service(self):
         """Return the upstream hosts kept busy by all entry hosts, by service."""
--- a/src/peridothitch/gateway/forwarding/quotas.py
+++ b/src/peridothitch/gateway/forwarding/quotas.py
@@ -37,6 +37,7 @@
         self._share_by_name = {}
         self._random = random.Random()
         self._granted_at = None
+        self._is_corrected = False
 
     def take_table(self, table):
         """Begin to count for the customers of a `peridothitch.ports.forwarding.Table`.
@@ -125,9 +126,12 @@
         """Take in a `peridothitch.gateway.forwarding.fleet_reports.FleetView`."""
         with self._lock:
             self._share_by_name = dict(view.share_by_customer)
-            if self._granted_at is None:
-                self._correct_assumed(view.demand_by_customer)
             self._granted_at = self._clock.monotonic()
+            # A holder that has just started itself knows too little of the demand.
+            window = self._promises.quota_window.total_seconds()
+            if view.age_seconds >= window and not self._is_corrected:
+                self._is_corrected = True
+                self._correct_assumed(view.demand_by_customer)
 
     def _correct_assumed(self, demand_by_customer):
         window = self._promises.quota_window.total_seconds()
--- a/src/peridothitch/policy/capacity_plan.py
+++ b/src/peridothitch/policy/capacity_plan.py
@@ -11,14 +11,24 @@
 
 from peridothitch.ports import duties
 
-__all__ = ["CapacityPlan", "Supply", "hosts_needed", "next_orders", "plan"]
-
-_TARGET_USE = 0.5
+__all__ = [
+    "CapacityPlan",
+    "Supply",
+    "hosts_needed",
+    "next_orders",
+    "plan",
+    "steady_load",
+]
+
+_TARGET_USE = 0.6
 """Part of its time that a host may be busy while answers are on time."""
 
-_SUBSTITUTE_USE = 0.8
+_SUBSTITUTE_USE = 0.9
 """Part of its time that a host may be busy before on-demand hosts are paid for."""
 
+_FALL_HALF_LIFE_SECONDS = 12.0
+"""Some start times of hosts; waves of load come back within it."""
+
 _LEAST_HOSTS = 3
 """Hosts in a data centre that hold a burst until more of them have started."""
 
@@ -33,10 +43,14 @@
         Live hosts by data centre and whether they are reclaimable.
     sold_out : frozenset of str
         Data centres that lately had no reclaimable hosts to offer.
+    is_wave : bool
+        Whether reclaimable hosts were lost so lately that another data centre may be
+        next.
     """
 
     live: dict
     sold_out: frozenset = frozenset()
+    is_wave: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,6 +66,22 @@
     on_demand_by_data_centre: dict
 
 
+def steady_load(before, load, passed_seconds):
+    """Return a load that rises at once and falls slowly.
+
+    Hosts that were given up a moment too early have to be started again.
+
+    Parameters
+    ----------
+    before : float
+        Steady load of the last time.
+    load : float
+    passed_seconds : float
+    """
+    fading = 0.5 ** (passed_seconds / _FALL_HALF_LIFE_SECONDS)
+    return max(load, before * fading)
+
+
 def hosts_needed(busy_hosts, target_use=_TARGET_USE):
     """Return the hosts that serve a load in time.
 
@@ -91,9 +121,10 @@
 
 
 def _substitutes(needed, scaling, data_centres, supply):
-    """Return on-demand hosts for what reclaimable ones are missing now."""
+    """Return on-demand hosts for what is missing, also should the wave go on."""
     live = {name: supply.live.get((name, True), 0) for name in data_centres}
-    missing = needed - sum(live.values())
+    next_loss = max(live.values(), default=0) if supply.is_wave else 0
+    missing = needed - (sum(live.values()) - next_loss)
     prices = scaling.price_by_data_centre
     counts = dict.fromkeys(data_centres, 0)
     while missing > 0:
--- a/src/peridothitch/policy/quota_shares.py
+++ b/src/peridothitch/policy/quota_shares.py
@@ -56,6 +56,11 @@
 
     def __init__(self):
         self._grant_by_host = {}
+        self._began = None
+
+    def age(self, now):
+        """Return for how long shares have been granted here."""
+        return now - self._began if self._began is not None else datetime.timedelta(0)
 
     @property
     def host_count(self):
@@ -78,6 +83,8 @@
             Customers that aren't in it are shared evenly.
         """
         self._expire(now)
+        if self._began is None:
+            self._began = now
         host_id = report.host_id
         known = self._grant_by_host.get(host_id)
         if known is None or known.incarnation != report.incarnation:
