--- a/src/peridothitch/adapters/raw_front.py
+++ b/src/peridothitch/adapters/raw_front.py
@@ -195,7 +195,7 @@
 
     def readable(self):
         """Return whether input is taken."""
-        if self._is_idle_too_long():
+        if self._is_idle_too_long() or (self.server.is_ending and self._is_idle()):
             self.will_close = True
         return super().readable()
 
@@ -214,8 +214,11 @@
         super().service()
         self._active_at = self.adj.clock.monotonic()
 
+    def _is_idle(self):
+        return not self.requests and self.request is None
+
     def _is_idle_too_long(self):
-        if self.requests or self.request is not None:
+        if not self._is_idle():
             return False
         idle = self.adj.clock.monotonic() - self._active_at
         return idle > self.server.idle_timeout
@@ -292,6 +295,7 @@
         self._server.adj.channel_timeout = _ENDLESS_SECONDS
         self._server.converse = converse
         self._server.is_draining = False
+        self._server.is_ending = False
         self.set_limits(forwarding.CallerLimits())
 
     def set_limits(self, limits):
@@ -304,3 +308,16 @@
     def drain(self):
         """Ask callers with each answer to connect elsewhere."""
         self._server.is_draining = True
+
+    def close_idle(self):
+        """Take no connection any more and close those without a request.
+
+        Requests that have been read are still answered.
+        """
+        self._server.is_ending = True
+        self._server.trigger.pull_trigger(self._stop_accepting)
+
+    def _stop_accepting(self):
+        self._server.accepting = False
+        self._server.del_channel()
+        self._server.socket.close()
--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -45,6 +45,7 @@
 _DRAIN_PART = 0.94
 """Part of the time until a process is killed in which its requests may end."""
 
+_DRAIN_STEP = datetime.timedelta(milliseconds=50)
 _QUIET_TIME = datetime.timedelta(milliseconds=1500)
 """A host that is draining ends after this time without a new request."""
 
@@ -276,7 +277,10 @@
         self._keeper.release()
         self._fleet.leave()
         while not self._may_end(began, latest):
-            self._clock.wait(self._stop, datetime.timedelta(milliseconds=50))
+            self._clock.wait(self._stop, _DRAIN_STEP)
+        self._server.close_idle()
+        while self._server.busy_count and self._clock.monotonic() < latest:
+            self._clock.wait(self._stop, _DRAIN_STEP)
         self._reports.send()
         self._stop.set()
         self._platform.store.close()
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -77,6 +77,7 @@
     host_count: int
     demand_by_customer: dict[str, float]
     share_by_customer: dict[str, float]
+    age_seconds: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/peridothitch/policy/capacity_plan.py
+++ b/src/peridothitch/policy/capacity_plan.py
@@ -165,7 +165,8 @@
     on_demand_now = supply.live.get((data_centre, False), 0)
     room = max(0, service.scaling.most - max(on_demand, on_demand_now))
     reclaimable = min(reclaimable, room)
-    if supply.live.get((data_centre, True), 0) < reclaimable:
+    is_replaced = supply.live.get((data_centre, True), 0) >= reclaimable
+    if not supply.sold_out and not is_replaced:
         on_demand = max(on_demand, on_demand_now)
     counts = [(True, reclaimable)]
     if on_demand or on_demand_now:
