--- /dev/null
+++ b/features/forwarding_bench.py
@@ -0,0 +1,281 @@
+"""Entry hosts that forward requests, before stand-ins of the whole platform."""
+
+import contextlib
+import dataclasses
+import datetime
+import http.client
+import json
+import socket
+import time
+
+from peridothitch.adapters import boot_clock, wsgi_server
+from peridothitch.gateway.forwarding import entry
+from peridothitch.platform import dialect, directory, duties, store
+from peridothitch.ports import site as sites
+from peridothitch.standins import metadata_store, platform_duties, replica
+
+HOST_NAME = "shop.example"
+KEY = "key-of-lanark"
+CUSTOMER = "lanark"
+REGIONS = {"lothian-a": "lothian", "fife-a": "fife"}
+WAIT_SECONDS = 20.0
+
+PROMISES = sites.Promises(
+    grace=datetime.timedelta(seconds=1),
+    contact_time=datetime.timedelta(seconds=4),
+    retry_share=0.2,
+    retry_allowance=54.0,
+    retry_window=datetime.timedelta(seconds=10),
+    quota_window=datetime.timedelta(seconds=8),
+    quota_excess_share=0.1,
+    quota_excess=0.0,
+    lease_time=datetime.timedelta(seconds=3),
+    orders_are_fenced=True,
+    usage_window=datetime.timedelta(seconds=5),
+    usage_delay=datetime.timedelta(seconds=10),
+    exposed_share=0.1,
+    exposed_count=50,
+)
+
+ROUTES = (
+    {
+        "name": "charge",
+        "prefix": "/charge/",
+        "route_type": "unsafe",
+        "service": "till",
+        "max_attempts": 1,
+        "timeout_ms": 2000,
+        "target_latency_ms": 200,
+    },
+    {
+        "name": "lookup",
+        "prefix": "/lookup/",
+        "route_type": "safe",
+        "service": "till",
+        "max_attempts": 2,
+        "timeout_ms": 2000,
+        "target_latency_ms": 200,
+    },
+    {
+        "name": "helper",
+        "prefix": "/helper/",
+        "route_type": "streaming",
+        "service": "model",
+        "max_attempts": 2,
+        "timeout_ms": 4000,
+        "target_latency_ms": 500,
+        "target_gap_ms": 300,
+        "stream_resume": True,
+        "session_affinity": True,
+    },
+    {
+        "name": "planner",
+        "prefix": "/planner/",
+        "route_type": "streaming",
+        "service": "model",
+        "max_attempts": 1,
+        "timeout_ms": 4000,
+        "target_latency_ms": 500,
+        "target_gap_ms": 300,
+        "session_affinity": True,
+    },
+    {
+        "name": "open",
+        "prefix": "/lookup/open/",
+        "route_type": "safe",
+        "service": "till",
+        "max_attempts": 1,
+        "timeout_ms": 2000,
+        "target_latency_ms": 200,
+        "anonymous": True,
+    },
+)
+
+
+def configuration(version=1, routes=ROUTES, tenants=None):
+    """Return the operators' record as bytes."""
+    if tenants is None:
+        tenants = [{"name": CUSTOMER, "api_keys": [KEY]}]
+    fields = {
+        "version": version,
+        "routes": [{"host": HOST_NAME, "priority": 1} | route for route in routes],
+        "services": [
+            {"name": "till", "max_connections": 100},
+            {"name": "model", "max_connections": 300, "engine": {"capacity": 48}},
+        ],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 65536,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": tenants,
+        "a_field_of_tomorrow": True,
+    }
+    return json.dumps(fields).encode()
+
+
+def host_record(found, service, state="ready", **changes):
+    """Return a replica's record as bytes."""
+    fields = {
+        "service": service,
+        "address": found.address,
+        "zone": "lothian-a",
+        "version": "v1",
+        "capacity": 8,
+        "state": state,
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return json.dumps(fields | changes).encode()
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a caller got."""
+
+    status: int
+    fields: tuple
+    body: bytes
+    complete: bool = True
+
+    def value(self, name):
+        """Return the value of a header, empty without it."""
+        for found, value in self.fields:
+            if found.lower() == name.lower():
+                return value
+        return ""
+
+
+class ForwardingBench:
+    """The platform's stand-ins and the entry hosts before them."""
+
+    def __init__(self):
+        self._stack = contextlib.ExitStack()
+        self.store = metadata_store.MetadataStore(boot_clock.BootClock())
+        self.store_service = metadata_store.MetadataStoreService(self.store)
+        self.duties_service = platform_duties.PlatformDutiesService()
+        self._store_server = self._serve(self.store_service)
+        self._duties_server = self._serve(self.duties_service)
+        self.replica_by_id = {}
+        self.hosts = []
+        self.requests = 0
+
+    def _serve(self, application):
+        server = wsgi_server.WsgiServer(application, "127.0.0.1:0", threads=32)
+        server.start()
+        self._stack.callback(server.close)
+        return server
+
+    def add_replica(self, replica_id, service, **options):
+        """Start a replica and let it register."""
+        found = replica.Replica(replica_id, **options)
+        found.start()
+        self._stack.callback(found.close)
+        self.replica_by_id[replica_id] = found
+        self.store.put(f"servers/{replica_id}", host_record(found, service))
+        return found
+
+    def configure(self, **options):
+        """Write the operators' record."""
+        return self.store.put("op/config", configuration(**options))
+
+    def start_host(self, host_id="edge-1", wait=True):
+        """Start an entry host; returns it once it is ready."""
+        seeds = tuple(host.peers_address for host in self.hosts)
+        site = sites.Site(
+            host_id=host_id,
+            data_centre="lothian-a",
+            region="lothian",
+            region_by_data_centre=REGIONS,
+            callers_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            peers_address="127.0.0.1:0",
+            seed_addresses=seeds,
+            store_address=f"127.0.0.1:{self._store_server.port}",
+            duties_address=f"127.0.0.1:{self._duties_server.port}",
+            reports_usage=True,
+            orders_capacity=True,
+            promises=PROMISES,
+        )
+        platform = entry.Platform(
+            store.PlatformStore(site.store_address),
+            directory.PlatformDirectory(REGIONS),
+            dialect.HeaderDialect(),
+            duties.HttpDuties(site.duties_address, host_id),
+        )
+        host = entry.ForwardingHost(site, platform, boot_clock.BootClock())
+        host.start()
+        self._stack.callback(host.stop)
+        self.hosts.append(host)
+        if wait:
+            wait_until(host.is_ready, f"{host_id} is ready")
+        return host
+
+    def close(self):
+        """Stop everything."""
+        self._stack.close()
+
+    def request(self, path, method="POST", body=b"", host=None, **headers):
+        """Send one request and read its answer."""
+        with contextlib.closing(self.connect(host)) as sock:
+            self.send(sock, path, method, body, **headers)
+            return read_answer(sock, method)
+
+    def connect(self, host=None):
+        """Open a caller's connection."""
+        port = (host or self.hosts[0]).port
+        return socket.create_connection(("127.0.0.1", port), WAIT_SECONDS)
+
+    def send(self, sock, path, method="POST", body=b"", **headers):
+        """Send one request; returns its id."""
+        self.requests += 1
+        request_id = headers.pop("request_id", f"request-{self.requests}")
+        fields = {
+            "Host": HOST_NAME,
+            "Peridothitch-Attempt-Id": request_id,
+            "X-Api-Key": KEY,
+            "Peridothitch-Deadline-Ms": "3000",
+        }
+        if body or method == "POST":
+            fields["Content-Length"] = str(len(body))
+        if path.startswith(("/helper/", "/planner/")):
+            fields["Peridothitch-Model"] = "m"
+            fields["Peridothitch-Token-Usage"] = "100,20"
+            fields["Peridothitch-Prompt-Prefix"] = "a1:60,b2:40"
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in fields.items() if value]
+        head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        sock.sendall(head + body)
+        return request_id
+
+    def received(self):
+        """Return all requests that reached a replica."""
+        return [r for found in self.replica_by_id.values() for r in found.received]
+
+    def runs(self, request_id):
+        """Return how often a request was run."""
+        return sum(found.ran.count(request_id) for found in self.replica_by_id.values())
+
+
+def read_answer(sock, method="POST"):
+    """Read one answer from a caller's connection."""
+    response = http.client.HTTPResponse(sock, method=method)
+    response.begin()
+    try:
+        body, complete = response.read(), True
+    except http.client.IncompleteRead as error:
+        body, complete = error.partial, False
+    except ConnectionResetError:
+        body, complete = b"", False
+    return Answer(response.status, tuple(response.getheaders()), body, complete)
+
+
+def wait_until(condition, what):
+    """Wait until a condition holds, for a long time."""
+    deadline = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline, f"not in time: {what}"
+        time.sleep(0.01)
--- a/src/peridothitch/gateway/forwarding/delivery.py
+++ b/src/peridothitch/gateway/forwarding/delivery.py
@@ -23,7 +23,7 @@
 
     Parameters
     ----------
-    parts : peridothitch.gateway.forwarding.attempts.AttemptParts
+    parts : peridothitch.gateway.forwarding.attempt.AttemptParts
     job : peridothitch.gateway.forwarding.job.Job
     search : peridothitch.gateway.forwarding.attempts.Attempts
     conversation : peridothitch.ports.raw.Conversation
--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -11,7 +11,7 @@
 from peridothitch.coordination import lease, mirror
 from peridothitch.gateway import loops, peer_links, quarantine
 from peridothitch.gateway.forwarding import (
-    attempts,
+    attempt,
     busy_meter,
     capacity_duty,
     catalogue,
@@ -191,7 +191,7 @@
         guard = quarantine.CrashGuard(
             self._fleet.facts, (), (), self._clock, self.metrics
         )
-        return attempts.AttemptParts(
+        return attempt.AttemptParts(
             book=self._book,
             transport=self._transport,
             dialect=self._platform.dialect,
@@ -240,6 +240,11 @@
         """Port that callers connect to."""
         return self._server.port
 
+    @property
+    def peers_address(self):
+        """IP number and port that other entry hosts connect to."""
+        return self._fleet.address
+
     def is_ready(self):
         """Return whether the balancer should send callers here."""
         return self._ready and not self._stopping and self.catalogue.is_known
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -15,7 +15,7 @@
 
 from peridothitch import errors
 from peridothitch.coordination import relays
-from peridothitch.policy import quota_shares
+from peridothitch.policy import quota_shares, usage_windows
 
 __all__ = ["FleetReports", "FleetView", "HostReport"]
 
@@ -29,9 +29,21 @@
 """Age at which a report says nothing of a host's load any more."""
 
 _COUNTS_LIFE = datetime.timedelta(seconds=60)
+_DEPARTED_AGE = datetime.timedelta(seconds=2.5)
+"""Silence after which a process's counts are passed on for it."""
+
+_MAX_DEPARTED = 32
 _log = logbook.Logger(__name__)
 
 
+class ProcessCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Counts of one process, passed on when it can't tell them itself."""
+
+    host_id: str
+    incarnation: str
+    counts_by_window: dict[int, dict[str, int]]
+
+
 class HostReport(msgspec.Struct, frozen=True, array_like=True):
     """Report of one entry host.
 
@@ -49,6 +61,10 @@
         Parts of the quotas that it used in the last span.
     busy_by_service : dict of str to float
         Upstream hosts kept busy by this host's requests.
+    settled_seconds : float
+        For how long the demand of all hosts has been known by what this host was told.
+    departed : tuple of ProcessCounts
+        Counts of processes that this host has not heard of lately.
     """
 
     host_id: str
@@ -58,6 +74,8 @@
     share_by_customer: dict[str, float]
     used_by_customer: dict[str, float]
     busy_by_service: dict[str, float]
+    settled_seconds: float = 0.0
+    departed: tuple[ProcessCounts, ...] = ()
 
 
 class FleetView(msgspec.Struct, frozen=True, array_like=True):
@@ -82,8 +100,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Received:
-    report: HostReport
+    counts: ProcessCounts
     at: datetime.timedelta
+    report: HostReport | None = None
 
 
 class FleetReports:
@@ -116,6 +135,7 @@
         self._shares = quota_shares.QuotaShares()
         self._on_view = []
         self.view = None
+        self._view_at = None
         peers.register(_METHOD, self._answer)
 
     def subscribe(self, callback):
@@ -129,7 +149,11 @@
 
     def send(self):
         """Send one report to the holder and one to its deputy."""
-        report = self._make_report()
+        report = msgspec.structs.replace(
+            self._make_report(),
+            settled_seconds=self._settled_seconds(),
+            departed=self._departed(),
+        )
         self._keep(report)
         holder = self._find_holder()
         for host_id in self._recipients(holder):
@@ -156,7 +180,22 @@
             _log.debug("report to {} failed: {}", host_id, error)
             return None
 
+    def _settled_seconds(self):
+        if self.view is None:
+            return 0.0
+        passed = self._clock.monotonic() - self._view_at
+        return self.view.age_seconds + passed.total_seconds()
+
+    def _departed(self):
+        """Return the counts of processes that have fallen silent."""
+        latest = self._clock.monotonic() - _DEPARTED_AGE
+        with self._lock:
+            silent = [r for r in self._received_by_process.values() if r.at < latest]
+        silent.sort(key=lambda received: received.at, reverse=True)
+        return tuple(received.counts for received in silent[:_MAX_DEPARTED])
+
     def _take(self, view):
+        self._view_at = self._clock.monotonic()
         self.view = view
         for callback in self._on_view:
             callback(view)
@@ -171,23 +210,45 @@
 
     def _keep(self, report):
         now = self._clock.monotonic()
+        counts = ProcessCounts(
+            report.host_id, report.incarnation, report.counts_by_window
+        )
         with self._lock:
             received = self._received_by_process
-            received[report.host_id, report.incarnation] = _Received(report, now)
+            received[report.host_id, report.incarnation] = _Received(
+                counts, now, report
+            )
+            for departed in report.departed:
+                self._keep_departed(departed, now)
             for key in [k for k, r in received.items() if now - r.at > _COUNTS_LIFE]:
                 del received[key]
 
+    def _keep_departed(self, counts, now):
+        """Keep another host's word for a process unless it is heard of directly."""
+        key = counts.host_id, counts.incarnation
+        known = self._received_by_process.get(key)
+        if known is None:
+            self._received_by_process[key] = _Received(counts, now - _DEPARTED_AGE)
+            return
+        newest = usage_windows.join_counts(
+            known.counts.counts_by_window, counts.counts_by_window
+        )
+        merged = msgspec.structs.replace(known.counts, counts_by_window=newest)
+        self._received_by_process[key] = dataclasses.replace(known, counts=merged)
+
     def _fresh(self):
         """Return the newest report of each host that reported lately."""
-        now = self._clock.monotonic()
-        newest_by_host = {}
         with self._lock:
-            for found in self._received_by_process.values():
-                if now - found.at > _LOAD_LIFE:
-                    continue
-                known = newest_by_host.get(found.report.host_id)
-                if known is None or known.at < found.at:
-                    newest_by_host[found.report.host_id] = found
+            return self._fresh_reports(self._clock.monotonic())
+
+    def _fresh_reports(self, now):
+        newest_by_host = {}
+        for found in self._received_by_process.values():
+            if found.report is None or now - found.at > _LOAD_LIFE:
+                continue
+            known = newest_by_host.get(found.report.host_id)
+            if known is None or known.at < found.at:
+                newest_by_host[found.report.host_id] = found
         return [found.report for found in newest_by_host.values()]
 
     def _view_for(self, report):
@@ -196,7 +257,10 @@
         with self._lock:
             shares = self._shares.grant(_quota_report(report), live, now)
             host_count = max(live, self._shares.host_count)
-            age = self._shares.age(now).total_seconds()
+            age = max(
+                self._shares.age(now).total_seconds(),
+                *(found.settled_seconds for found in self._fresh_reports(now)),
+            )
             return FleetView(host_count, self._shares.demand(), shares, age)
 
     def busy_by_service(self):
@@ -211,7 +275,7 @@
         """Return the counts by customer by window of each process."""
         with self._lock:
             return {
-                f"{host_id}/{incarnation}": found.report.counts_by_window
+                f"{host_id}/{incarnation}": found.counts.counts_by_window
                 for (host_id, incarnation), found in self._received_by_process.items()
             }
 
--- a/src/peridothitch/gateway/forwarding/front.py
+++ b/src/peridothitch/gateway/forwarding/front.py
@@ -32,7 +32,7 @@
     Parameters
     ----------
     catalogue : peridothitch.gateway.forwarding.catalogue.Catalogue
-    parts : peridothitch.gateway.forwarding.attempts.AttemptParts
+    parts : peridothitch.gateway.forwarding.attempt.AttemptParts
     quotas : peridothitch.gateway.forwarding.quotas.QuotaBook
     loads : peridothitch.gateway.forwarding.busy_meter.BusyMeter
     """
--- a/src/peridothitch/policy/token_quota.py
+++ b/src/peridothitch/policy/token_quota.py
@@ -22,6 +22,9 @@
 _DEMAND_SECONDS = 3.0
 """Time constant of the demand's average; above the reports' period of a second."""
 
+_LEAST_AGE_SECONDS = 1.0
+"""Less time says too little about the demand."""
+
 _ASSUMED_USE = 0.9
 """Part of its share that a new process takes to be used by the one before it."""
 
@@ -89,6 +92,7 @@
         self._used = 0.0
         self._demand = 0.0
         self._demand_at = now
+        self._asked_since = None
         self.limit = limit
         self._assumed = set()
         for step in range(_ASSUMED_STEPS):
@@ -117,6 +121,13 @@
 
     def demand(self, now):
         """Return the units a second asked for, averaged."""
+        if self._asked_since is None:
+            return 0.0
+        # An average over less time than its constant would be too low.
+        age = max(_LEAST_AGE_SECONDS, now - self._asked_since)
+        return self._faded_demand(now) / (1 - math.exp(-age / _DEMAND_SECONDS))
+
+    def _faded_demand(self, now):
         passed = max(0.0, now - self._demand_at)
         return self._demand * math.exp(-passed / _DEMAND_SECONDS)
 
@@ -128,7 +139,9 @@
     def ask(self, units, now):
         """Let a request pass if it fits; returns whether it did."""
         self._forget(now)
-        self._demand = self.demand(now) + units / _DEMAND_SECONDS
+        if self._asked_since is None:
+            self._asked_since = now
+        self._demand = self._faded_demand(now) + units / _DEMAND_SECONDS
         self._demand_at = now
         if self._used + units * self._random.random() > self.limit:
             return False
--- a/src/peridothitch/policy/usage_windows.py
+++ b/src/peridothitch/policy/usage_windows.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-__all__ = ["UsageWindows", "merge_counts", "window_of"]
+__all__ = ["UsageWindows", "join_counts", "merge_counts", "window_of"]
 
 _EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
 
@@ -59,3 +59,19 @@
         for customer, count in counts_by_window.get(window, {}).items():
             total[customer] = total.get(customer, 0) + count
     return total
+
+
+def join_counts(first, second):
+    """Return the newer of two states of one process's counts; counts only grow.
+
+    Parameters
+    ----------
+    first, second : dict of int to dict of str to int
+        Counts by customer by window.
+    """
+    joined = {window: dict(counts) for window, counts in first.items()}
+    for window, counts in second.items():
+        known = joined.setdefault(window, {})
+        for customer, count in counts.items():
+            known[customer] = max(count, known.get(customer, 0))
+    return joined
--- /dev/null
+++ b/src/peridothitch/standins/metadata_store.py
@@ -0,0 +1,328 @@
+"""Stand-in of the platform's metadata store, with its faults, over HTTP.
+
+Written from the store's published protocol: items with revisions, conditions on the
+last change, leases, watches by long polls, a history that can be dropped.
+"""
+
+import base64
+import dataclasses
+import datetime
+import json
+import threading
+import time
+import urllib.parse
+
+from peridothitch.adapters import problems
+
+__all__ = ["MetadataStore", "MetadataStoreService", "StoreFaults"]
+
+_PAGE_ITEMS = 500
+_LONGEST_WAIT_SECONDS = 30.0
+_SWEEP_SECONDS = 0.05
+_READ_ONLY = ("op/", "servers/")
+
+
+@dataclasses.dataclass
+class StoreFaults:
+    """Faults that tests switch on.
+
+    Attributes
+    ----------
+    refuse_status : int
+        Status of every answer, nothing being done; 0 for none.
+    lose_answers : int
+        Number of next writes that are done and not answered.
+    delay_seconds : float
+        Time that each call takes.
+    late_seconds : float
+        Delay after which writes whose answer is lost are done.
+    page_items : int
+        Items in one page.
+    """
+
+    refuse_status: int = 0
+    lose_answers: int = 0
+    delay_seconds: float = 0.0
+    late_seconds: float = 0.0
+    page_items: int = _PAGE_ITEMS
+
+
+class _ConditionFailedError(Exception):
+    pass
+
+
+class MetadataStore:
+    """The store's state.
+
+    Parameters
+    ----------
+    clock : peridothitch.ports.clock.Clock
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._item_by_key = {}
+        self._history = []
+        self._first_known = 0
+        self._deadline_by_lease = {}
+        self._ttl_by_lease = {}
+        self._next_lease = 100
+        self.revision = 1
+
+    def put(self, key, value):
+        """Write one key as the operator or an upstream does; returns the revision."""
+        return self.transact([], [{"key": key, "value": _encode(value)}], [])
+
+    def remove(self, key):
+        """Remove one key; returns the revision."""
+        return self.transact([], [], [key])
+
+    def read(self, key):
+        """Return the value of a key as bytes, None without it."""
+        with self._changed:
+            self._expire()
+            item = self._item_by_key.get(key)
+        return base64.b64decode(item["value"]) if item is not None else None
+
+    def compact(self):
+        """Forget the history."""
+        with self._changed:
+            self._history.clear()
+            self._first_known = self.revision
+            self._changed.notify_all()
+
+    def get(self, key):
+        """Return the fields of an item, or None."""
+        with self._changed:
+            self._expire()
+            return self._item_by_key.get(key)
+
+    def page(self, prefix, after, most):
+        """Return one page of items, whether there are more, and the revision."""
+        with self._changed:
+            self._expire()
+            keys = sorted(
+                key
+                for key in self._item_by_key
+                if key.startswith(prefix) and key > after
+            )
+            items = [self._item_by_key[key] for key in keys[:most]]
+            return items, len(keys) > most, self.revision
+
+    def wait(self, prefix, after, wait_seconds):
+        """Return events after a revision and the revision; None if they are unknown."""
+        deadline = time.monotonic() + min(wait_seconds, _LONGEST_WAIT_SECONDS)
+        with self._changed:
+            while True:
+                self._expire()
+                if after < self._first_known:
+                    return None
+                events = [
+                    event
+                    for event in self._history
+                    if event["revision"] > after and event["key"].startswith(prefix)
+                ]
+                left = deadline - time.monotonic()
+                if events or left <= 0:
+                    return events, self.revision
+                self._changed.wait(min(left, _SWEEP_SECONDS))
+
+    def transact(self, expected, writes, removes):
+        """Apply a change if its conditions hold; returns the revision.
+
+        Raises
+        ------
+        KeyError
+            A write names a lease that has ended.
+        """
+        with self._changed:
+            self._expire()
+            for row in expected:
+                item = self._item_by_key.get(row["key"])
+                if (item["revision"] if item else 0) != row["revision"]:
+                    raise _ConditionFailedError
+            for write in writes:
+                lease = write.get("lease", 0)
+                if lease and lease not in self._deadline_by_lease:
+                    raise KeyError(lease)
+            self.revision += 1
+            for write in writes:
+                known = self._item_by_key.get(write["key"])
+                item = {
+                    "key": write["key"],
+                    "value": write["value"],
+                    "revision": self.revision,
+                    "created": known["created"] if known else self.revision,
+                    "lease": write.get("lease", 0),
+                }
+                self._item_by_key[write["key"]] = item
+                self._history.append(item)
+            self._remove([key for key in removes if key in self._item_by_key])
+            self._changed.notify_all()
+            return self.revision
+
+    def grant(self, ttl_ms):
+        """Create a lease; returns its id."""
+        with self._changed:
+            self._next_lease += 1
+            self._ttl_by_lease[self._next_lease] = ttl_ms
+            self._renew(self._next_lease)
+            return self._next_lease
+
+    def renew(self, lease):
+        """Renew a lease; returns its time in milliseconds, None if it has ended."""
+        with self._changed:
+            self._expire()
+            if lease not in self._deadline_by_lease:
+                return None
+            self._renew(lease)
+            return self._ttl_by_lease[lease]
+
+    def end(self, lease):
+        """End a lease; returns whether there was one."""
+        with self._changed:
+            self._expire()
+            found = self._deadline_by_lease.pop(lease, None) is not None
+            self._drop_keys(lease)
+            return found
+
+    def _renew(self, lease):
+        ttl = datetime.timedelta(milliseconds=self._ttl_by_lease[lease])
+        self._deadline_by_lease[lease] = self._clock.monotonic() + ttl
+
+    def _expire(self):
+        now = self._clock.monotonic()
+        for lease in [k for k, at in self._deadline_by_lease.items() if at <= now]:
+            del self._deadline_by_lease[lease]
+            self._drop_keys(lease)
+
+    def _drop_keys(self, lease):
+        keys = [k for k, item in self._item_by_key.items() if item["lease"] == lease]
+        if keys and lease:
+            self.revision += 1
+            self._remove(keys)
+            self._changed.notify_all()
+
+    def _remove(self, keys):
+        for key in keys:
+            del self._item_by_key[key]
+            self._history.append(
+                {"key": key, "revision": self.revision, "deleted": True}
+            )
+
+
+class MetadataStoreService:
+    """WSGI application of the store.
+
+    Parameters
+    ----------
+    store : MetadataStore
+    faults : StoreFaults or None
+
+    Attributes
+    ----------
+    call_count : int
+        Calls that arrived.
+    """
+
+    def __init__(self, store, faults=None):
+        self.store = store
+        self.faults = faults or StoreFaults()
+        self.call_count = 0
+
+    def __call__(self, environ, start_response):
+        """Answer one call."""
+        self.call_count += 1
+        if self.faults.delay_seconds:
+            time.sleep(self.faults.delay_seconds)
+        if self.faults.refuse_status:
+            return _answer(start_response, self.faults.refuse_status, {})
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+        body = json.loads(environ["wsgi.input"].read() or b"{}")
+        if method != "GET" and self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            self._do_late(method, path, query, body)
+            # The server closes the connection when an application fails so late.
+            start_response(problems.status_line(200), [("Content-Length", "1000")])
+            return [b""]
+        status, fields = self._do(method, path, query, body)
+        return _answer(start_response, status, fields)
+
+    def _do_late(self, method, path, query, body):
+        if not self.faults.late_seconds:
+            self._do(method, path, query, body)
+            return
+        timer = threading.Timer(
+            self.faults.late_seconds, self._do, (method, path, query, body)
+        )
+        timer.daemon = True
+        timer.start()
+
+    def _do(self, method, path, query, body):
+        name, _, argument = path.removeprefix("/v1/").partition("/")
+        answer = getattr(self, "_" + name.replace("-", "_"), None)
+        if answer is None:
+            return 404, {"error": "no such call"}
+        return answer(query, body, argument)
+
+    def _kv_key(self, query, body, argument):
+        item = self.store.get(query["key"])
+        if item is None:
+            return 404, {}
+        return 200, item | {"at": self.store.revision}
+
+    def _kv_range(self, query, body, argument):
+        items, more, at = self.store.page(
+            query["prefix"], query.get("after", ""), self.faults.page_items
+        )
+        return 200, {"entries": items, "has_more": more, "at": at}
+
+    def _kv_watch(self, query, body, argument):
+        found = self.store.wait(
+            query["prefix"], int(query["after"]), int(query["wait_ms"]) / 1000
+        )
+        if found is None:
+            return 410, {"error": "history is gone"}
+        events, at = found
+        return 200, {"events": events, "at": at}
+
+    def _kv_txn(self, query, body, argument):
+        writes = body.get("write", [])
+        removes = body.get("remove", [])
+        keys = [write["key"] for write in writes] + removes
+        if any(key.startswith(_READ_ONLY) for key in keys):
+            return 403, {"error": "these keys belong to others"}
+        expected = body.get("expected_revision", [])
+        try:
+            return 200, {"revision": self.store.transact(expected, writes, removes)}
+        except _ConditionFailedError:
+            return 412, {"entries": [self.store.get(row["key"]) for row in expected]}
+        except KeyError:
+            return 404, {"error": "no such lease"}
+
+    def _kv_lease(self, query, body, argument):
+        ttl_ms = max(1000, body["ttl_ms"])
+        return 200, {"lease": self.store.grant(ttl_ms), "ttl_ms": ttl_ms}
+
+    def _kv_keep(self, query, body, argument):
+        ttl_ms = self.store.renew(int(argument))
+        return (404, {}) if ttl_ms is None else (200, {"ttl_ms": ttl_ms})
+
+    def _kv_lease_end(self, query, body, argument):
+        return (200, {}) if self.store.end(int(argument)) else (404, {})
+
+
+def _encode(value):
+    return base64.b64encode(value).decode()
+
+
+def _answer(start_response, status, fields):
+    body = json.dumps(fields).encode()
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    ]
+    start_response(problems.status_line(status), headers)
+    return [body]
--- /dev/null
+++ b/src/peridothitch/standins/platform_duties.py
@@ -0,0 +1,69 @@
+"""Stand-in of the platform's calls that one entry host makes for all."""
+
+import json
+import threading
+
+from peridothitch.adapters import problems
+
+__all__ = ["PlatformDutiesService"]
+
+
+class PlatformDutiesService:
+    """WSGI application that keeps what it was sent.
+
+    Attributes
+    ----------
+    counts_by_window : dict of int to dict
+        The accepted usage reports.
+    contradictions : list of int
+        Windows that were reported twice with different counts.
+    orders : list of dict
+        The accepted orders.
+    sold_out : set of str
+        Data centres that have no reclaimable hosts.
+    lose_answers : int
+        Number of next calls that are done and not answered.
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._highest_by_subject = {}
+        self.counts_by_window = {}
+        self.contradictions = []
+        self.orders = []
+        self.sold_out = set()
+        self.lose_answers = 0
+
+    def __call__(self, environ, start_response):
+        """Answer one call."""
+        body = json.loads(environ["wsgi.input"].read())
+        number = int(environ["HTTP_PERIDOTHITCH_FENCING_TOKEN"])
+        with self._lock:
+            status, text = self._do(environ["PATH_INFO"], body, number)
+            lost = self.lose_answers > 0
+            self.lose_answers -= lost
+        if lost:
+            start_response(problems.status_line(200), [("Content-Length", "1000")])
+            return [b""]
+        answer = json.dumps({"error": text} if text else {}).encode()
+        headers = [("Content-Length", str(len(answer)))]
+        start_response(problems.status_line(status), headers)
+        return [answer]
+
+    def _do(self, path, body, number):
+        subject = path, body.get("service"), body.get("zone")
+        if number < self._highest_by_subject.get(subject, 0):
+            return 409, "a higher fence was seen"
+        self._highest_by_subject[subject] = number
+        if path == "/usage":
+            return self._take_usage(body)
+        if body.get("spot_enabled") and body["zone"] in self.sold_out:
+            return 409, "none of that kind is to be had"
+        self.orders.append(body)
+        return 200, ""
+
+    def _take_usage(self, body):
+        window, counts = body["window_id"], body["counts"]
+        if self.counts_by_window.setdefault(window, counts) != counts:
+            self.contradictions.append(window)
+        return 200, ""
--- /dev/null
+++ b/src/peridothitch/standins/replica.py
@@ -0,0 +1,316 @@
+"""Stand-in of the platform's replicas, with their faults, one thread a connection.
+
+It speaks HTTP by hand, since most of its faults are answers that no library sends.
+"""
+
+import collections
+import dataclasses
+import http.client
+import io
+import socket
+import struct
+import threading
+import time
+
+__all__ = ["ReceivedRequest", "Replica"]
+
+_NO_LINGER = struct.pack("ii", 1, 0)
+_TIMEOUT_SECONDS = 10.0
+_SIGNATURE = "Peridothitch-Response-Signature: 3e1b.07"
+
+
+@dataclasses.dataclass(frozen=True)
+class ReceivedRequest:
+    """One request that arrived.
+
+    Attributes
+    ----------
+    method, target : str
+    fields : tuple of (str, str)
+    body : bytes
+    connection : int
+        Number of the connection that it arrived on.
+    """
+
+    method: str
+    target: str
+    fields: tuple
+    body: bytes
+    connection: int
+
+    def value(self, name):
+        """Return the value of a header, empty without it."""
+        for found, value in self.fields:
+            if found.lower() == name.lower():
+                return value
+        return ""
+
+
+class Replica:
+    """One replica.
+
+    Parameters
+    ----------
+    replica_id : str
+    event_count : int
+        Events of a stream.
+    event_gap_seconds : float
+
+    Attributes
+    ----------
+    received : list of ReceivedRequest
+    ran : list of str
+        Ids of the requests that were run.
+    cancelled : list of str
+        Ids of the streams whose connection was closed by the other end.
+    """
+
+    def __init__(self, replica_id, event_count=5, event_gap_seconds=0.01):
+        self.replica_id = replica_id
+        self.event_count = event_count
+        self.event_gap_seconds = event_gap_seconds
+        self.received = []
+        self.ran = []
+        self.cancelled = []
+        self._behaviours = collections.deque()
+        self._default = "answer"
+        self._connections = 0
+        self._open = set()
+        self._lock = threading.Lock()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+
+    def behave(self, *names, default=None):
+        """Behave in the ways named for the next requests, one after the other.
+
+        The ways are the methods of this class that begin with ``do_``.
+        """
+        self._behaviours.extend(names)
+        if default is not None:
+            self._default = default
+
+    def start(self):
+        """Accept connections in the background."""
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        """Stop at once, as a crash does."""
+        self._listener.close()
+        with self._lock:
+            sockets, self._open = self._open, set()
+        for sock in sockets:
+            _reset(sock)
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            with self._lock:
+                self._connections += 1
+                number = self._connections
+                self._open.add(sock)
+            threading.Thread(
+                target=self._serve, args=(sock, number), daemon=True
+            ).start()
+
+    def _serve(self, sock, number):
+        sock.settimeout(_TIMEOUT_SECONDS)
+        reader = sock.makefile("rb")
+        try:
+            while True:
+                request = _read_request(reader, number)
+                if request is None:
+                    return
+                self.received.append(request)
+                with self._lock:
+                    names = self._behaviours
+                    name = names.popleft() if names else self._default
+                if not getattr(self, f"do_{name}")(sock, request):
+                    return
+        except OSError:
+            return
+        finally:
+            sock.close()
+
+    def _head(self, request, status, *lines):
+        reason = http.client.responses[status]
+        return "\r\n".join(
+            [
+                f"HTTP/1.1 {status} {reason}",
+                f"Peridothitch-Attempt-Id: {request.value('Peridothitch-Attempt-Id')}",
+                "Peridothitch-Replica-Load: 1,0,8",
+                *lines,
+                "",
+                "",
+            ]
+        ).encode()
+
+    def _body(self, request):
+        return b"%s of %s\n" % (self.replica_id.encode(), request.target.encode())
+
+    def do_answer(self, sock, request):
+        """Run the request and answer it."""
+        expected = request.value("Peridothitch-Expected-Replica")
+        if expected not in ("", self.replica_id):
+            return self.do_misdirect(sock, request)
+        self.ran.append(request.value("Peridothitch-Attempt-Id"))
+        if request.value("Peridothitch-Token-Usage"):
+            return self._stream(sock, request, self.event_count)
+        body = self._body(request)
+        length = f"Content-Length: {len(body)}"
+        sock.sendall(self._head(request, 200, _SIGNATURE, length) + body)
+        return True
+
+    def _stream(self, sock, request, count):
+        begin = int(request.value("Last-Event-Id") or 0)
+        sock.sendall(
+            self._head(
+                request,
+                200,
+                _SIGNATURE,
+                "Content-Type: text/event-stream",
+                "Transfer-Encoding: chunked",
+            )
+        )
+        for number in range(begin + 1, count + 1):
+            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            try:
+                sock.sendall(b"%x\r\n%b\r\n" % (len(event), event))
+                time.sleep(self.event_gap_seconds)
+                if _is_closed(sock):
+                    raise OSError
+            except OSError:
+                self.cancelled.append(request.value("Peridothitch-Attempt-Id"))
+                return False
+        if count == self.event_count:
+            sock.sendall(b"0\r\n\r\n")
+            return True
+        return False
+
+    def do_break_stream(self, sock, request):
+        """Break off a stream in the middle of its third event."""
+        self.ran.append(request.value("Peridothitch-Attempt-Id"))
+        self._stream(sock, request, 2)
+        sock.sendall(b"20\r\nid: 3\ndata: tok")
+        _reset(sock)
+        return False
+
+    def do_refuse(self, sock, request):
+        """Refuse the request without running it."""
+        lines = ("Peridothitch-Not-Executed: 1", "Content-Length: 0")
+        sock.sendall(self._head(request, 503, *lines))
+        return True
+
+    def do_misdirect(self, sock, request):
+        """Answer as another replica that has taken over the address."""
+        lines = ("Peridothitch-Replica-Id: i-other", "Content-Length: 0")
+        sock.sendall(self._head(request, 421, *lines))
+        return True
+
+    def do_fail(self, sock, request):
+        """Run the request and answer that it failed."""
+        return self._answer_status(sock, request, 500)
+
+    def do_busy(self, sock, request):
+        """Run the request and answer 503 without saying that it did not run."""
+        return self._answer_status(sock, request, 503)
+
+    def _answer_status(self, sock, request, status):
+        self.ran.append(request.value("Peridothitch-Attempt-Id"))
+        lines = (_SIGNATURE, "Content-Length: 6")
+        sock.sendall(self._head(request, status, *lines) + b"failed")
+        return True
+
+    def do_unsigned(self, sock, request):
+        """Answer a success that nobody vouches for."""
+        sock.sendall(self._head(request, 200, "Content-Length: 2") + b"ok")
+        return True
+
+    def do_reset(self, sock, request):
+        """Run the request and reset the connection without an answer."""
+        self.ran.append(request.value("Peridothitch-Attempt-Id"))
+        _reset(sock)
+        return False
+
+    def do_cut(self, sock, request):
+        """Close the connection in the middle of the body."""
+        self.ran.append(request.value("Peridothitch-Attempt-Id"))
+        head = self._head(request, 200, _SIGNATURE, "Content-Length: 100")
+        sock.sendall(head + b"only a part")
+        return False
+
+    def do_unframed(self, sock, request):
+        """Answer with a body that ends with the connection."""
+        self.ran.append(request.value("Peridothitch-Attempt-Id"))
+        head = self._head(request, 200, _SIGNATURE, "Connection: close")
+        sock.sendall(head + self._body(request))
+        return False
+
+    def do_surplus(self, sock, request):
+        """Answer, and send bytes beyond the answer's end."""
+        self.do_answer(sock, request)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore")
+        return True
+
+    def do_extra_before(self, sock, request):
+        """Send another request's answer before this one's."""
+        foreign = (
+            b"HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: somebody-else\r\n"
+            b"Peridothitch-Response-Signature: 0\r\nContent-Length: 7\r\n\r\nforeign"
+        )
+        sock.sendall(foreign)
+        return self.do_answer(sock, request)
+
+    def do_garbage(self, sock, request):
+        """Answer with bytes that are no answer."""
+        self.ran.append(request.value("Peridothitch-Attempt-Id"))
+        sock.sendall(b"\x00\x17 no answer at all\r\n\r\n")
+        return False
+
+    def do_silent(self, sock, request):
+        """Never answer; note when the other end gives up."""
+        self.ran.append(request.value("Peridothitch-Attempt-Id"))
+        try:
+            sock.recv(1)
+        except OSError:
+            pass
+        self.cancelled.append(request.value("Peridothitch-Attempt-Id"))
+        return False
+
+
+def _reset(sock):
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        sock.shutdown(socket.SHUT_RD)
+    except OSError:
+        pass
+    sock.close()
+
+
+def _is_closed(sock):
+    sock.settimeout(0.0)
+    try:
+        return sock.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    finally:
+        sock.settimeout(_TIMEOUT_SECONDS)
+
+
+def _read_request(reader, number):
+    line = reader.readline()
+    if not line.strip():
+        return None
+    method, target, _ = line.decode("latin-1").split(" ", 2)
+    raw = bytearray()
+    while (field := reader.readline()) not in (b"\r\n", b""):
+        raw += field
+    pairs = [
+        entry.partition(":")
+        for entry in io.StringIO(raw.decode("latin-1")).read().splitlines()
+    ]
+    fields = tuple((name, value.strip()) for name, _, value in pairs)
+    length = next((int(v) for n, v in fields if n.lower() == "content-length"), 0)
+    return ReceivedRequest(method, target, fields, reader.read(length), number)
