--- a/features/forwarding_bench.py
+++ b/features/forwarding_bench.py
@@ -21,7 +21,7 @@
 WAIT_SECONDS = 20.0
 
 PROMISES = sites.Promises(
-    grace=datetime.timedelta(seconds=1),
+    grace=datetime.timedelta(seconds=0.3),
     contact_time=datetime.timedelta(seconds=4),
     retry_share=0.2,
     retry_allowance=54.0,
@@ -160,6 +160,7 @@
         self._duties_server = self._serve(self.duties_service)
         self.replica_by_id = {}
         self.hosts = []
+        self.store_by_host_id = {}
         self.requests = 0
 
     def _serve(self, application):
@@ -199,8 +200,9 @@
             orders_capacity=True,
             promises=PROMISES,
         )
+        self.store_by_host_id[host_id] = store.PlatformStore(site.store_address)
         platform = entry.Platform(
-            store.PlatformStore(site.store_address),
+            self.store_by_host_id[host_id],
             directory.PlatformDirectory(REGIONS),
             dialect.HeaderDialect(),
             duties.HttpDuties(site.duties_address, host_id),
--- /dev/null
+++ b/features/steps/forwarding_faults_steps.py
@@ -0,0 +1,256 @@
+"""Steps for faults of upstreams, callers and the store."""
+
+import json
+import time
+
+import behave
+import forwarding_bench as benches
+
+_TRIES = 40
+_CRASHES = 4
+
+
+@behave.when('each replica\'s next behaviour is "{name}"')
+def misbehave_all(context, name):
+    for found in context.bench.replica_by_id.values():
+        found.behave(default=name)
+
+
+@behave.when('each replica\'s next behaviour is "{name}" once')
+def misbehave_all_once(context, name):
+    context.bench.replica_by_id["model-a"].behave(name)
+    context.bench.replica_by_id["model-b"].behave(name)
+    for replica_id in ("model-c", "model-d"):
+        context.bench.add_replica(replica_id, "model")
+    _leave(context, "model-b")
+
+
+def _leave(context, replica_id):
+    found = context.bench.replica_by_id[replica_id]
+    service = replica_id.partition("-")[0]
+    value = benches.host_record(found, service, state="draining")
+    context.bench.store.put(f"servers/{replica_id}", value)
+    hosts = context.host.catalogue.hosts
+    benches.wait_until(
+        lambda: hosts()[replica_id].state.value == "leaving", "the host is leaving"
+    )
+
+
+@behave.then("the caller gets {status:d} and the request ran {runs:d} times")
+def check_outcome(context, status, runs):
+    assert context.answer.status == status, context.answer
+    request_id = f"request-{context.bench.requests}"
+    assert context.bench.runs(request_id) == runs, context.bench.runs(request_id)
+    if status != 200 and status != 500:
+        assert not context.answer.value("Peridothitch-Response-Signature")
+    if status == 503:
+        assert float(context.answer.value("Retry-After")) > 0
+
+
+@behave.when('one replica\'s next behaviour is "{name}"')
+def misbehave_one(context, name):
+    context.faulty = context.bench.replica_by_id["till-a"]
+    context.faulty.behave(name)
+
+
+@behave.when('a caller gets "{path}" until that replica was asked')
+def get_until_asked(context, path):
+    _ask_until(context, path, "GET")
+
+
+@behave.when('a caller posts to "{path}" until that replica was asked')
+def post_until_asked(context, path):
+    _ask_until(context, path, "POST")
+
+
+def _ask_until(context, path, method):
+    context.answers = []
+    for _ in range(_TRIES):
+        context.answers.append(context.bench.request(path, method))
+        if context.faulty.received:
+            return
+    raise AssertionError("the replica was never asked")
+
+
+@behave.then("the caller got 200 each time")
+def check_all(context):
+    statuses = [answer.status for answer in context.answers]
+    assert set(statuses) == {200}, statuses
+    assert all(answer.complete for answer in context.answers)
+
+
+@behave.then("no request ran twice")
+def check_once(context):
+    ran = [
+        request_id
+        for found in context.bench.replica_by_id.values()
+        for request_id in found.ran
+    ]
+    assert len(ran) == len(set(ran)), ran
+
+
+@behave.when('one replica of "{service}" crashes')
+def crash_one(context, service):
+    context.bench.replica_by_id[f"{service}-a"].close()
+
+
+@behave.when("a caller posts {count:d} payments")
+def post_payments(context, count):
+    context.answers = [
+        context.bench.request(f"/charge/{number}") for number in range(count)
+    ]
+
+
+@behave.then("the answer is cut off after the event {last:d}")
+def check_cut(context, last):
+    answer = context.answer
+    assert answer.status == 200, answer
+    assert not answer.complete
+    assert answer.body.endswith(b"id: %d\ndata: token %d\n\n" % (last, last))
+
+
+_OWN_HEADERS = (
+    "Peridothitch-Cache-Retention",
+    "Peridothitch-Pin-Ms",
+    "Peridothitch-Kv-Backup",
+    "Kv-From",
+    "Kv-Fetch",
+    "Peridothitch-Expected-Version",
+)
+
+
+@behave.when('a caller posts to "{path}" with headers that only entry hosts set')
+def post_with_own_headers(context, path):
+    headers = {name.replace("-", "_"): "1" for name in _OWN_HEADERS}
+    headers["Peridothitch_Tenant"] = "somebody-else"
+    context.answer = context.bench.request(path, **headers)
+
+
+@behave.then("none of these headers reached a replica")
+def check_own_headers(context):
+    (received,) = context.bench.received()
+    assert not any(received.value(name) for name in _OWN_HEADERS)
+    tenants = [v for n, v in received.fields if n.lower() == "peridothitch-tenant"]
+    assert tenants == [benches.CUSTOMER], tenants
+
+
+@behave.given("streams are long")
+def make_long(context):
+    for found in context.bench.replica_by_id.values():
+        found.event_count = 300
+
+
+@behave.when("a caller leaves in the middle of a stream")
+def leave(context):
+    sock = context.bench.connect()
+    context.request_id = context.bench.send(sock, "/planner/1")
+    assert sock.recv(100)
+    sock.close()
+
+
+@behave.then("the replica's work on it ends")
+def check_cancelled(context):
+    replicas = context.bench.replica_by_id.values()
+    benches.wait_until(
+        lambda: any(context.request_id in found.cancelled for found in replicas),
+        "the stream is cancelled",
+    )
+
+
+@behave.when('a caller posts to "{path}" with a deadline of {milliseconds:d} ms')
+def post_with_deadline(context, path, milliseconds):
+    context.answer = context.bench.request(
+        path, Peridothitch_Deadline_Ms=str(milliseconds)
+    )
+
+
+@behave.when("records of hosts come with")
+def put_records(context):
+    for number, text in enumerate(context.text.split("\n")):
+        context.bench.store.put(f"servers/odd-{number}", text.encode())
+    revision = context.bench.store.revision
+    hosts = context.host.catalogue
+    benches.wait_until(
+        lambda: hosts.hosts_revision >= revision, "the records have been seen"
+    )
+
+
+@behave.when('one replica of "{service}" says that it is leaving')
+def leave_one(context, service):
+    _leave(context, f"{service}-a")
+    context.leaving = context.bench.replica_by_id[f"{service}-a"]
+
+
+@behave.then("the leaving replica got none")
+def check_leaving(context):
+    assert not context.leaving.received
+
+
+@behave.given("a second entry host")
+def start_second(context):
+    second = context.bench.start_host("edge-2")
+    first = context.bench.hosts[0]
+    benches.wait_until(
+        lambda: len(first.members()) == 2 and len(second.members()) == 2,
+        "both know each other",
+    )
+
+
+@behave.when("the store turns the first entry host away")
+def turn_away(context):
+    context.bench.store_by_host_id["edge-1"].close()
+
+
+@behave.when('the rules drop the route "{prefix}"')
+def drop_route(context, prefix):
+    routes = [route for route in benches.ROUTES if route["prefix"] != prefix]
+    context.bench.configure(version=2, routes=routes)
+
+
+@behave.then('the first entry host answers {status:d} to "{path}"')
+def check_first(context, status, path):
+    first = context.bench.hosts[0]
+    benches.wait_until(
+        lambda: context.bench.request(path, "GET", host=first).status == status,
+        "the first host has learned the change",
+    )
+
+
+@behave.given('the request "{path}" crashes each replica')
+def make_deadly(context, path):
+    for number in range(_CRASHES):
+        replica_id = f"till-x{number}"
+        context.bench.add_replica(replica_id, "till")
+    for found in context.bench.replica_by_id.values():
+        _crash_on(found, path)
+    hosts = context.host.catalogue.hosts
+    benches.wait_until(lambda: len(hosts()) == 4 + _CRASHES, "all hosts are known")
+
+
+def _crash_on(found, path):
+    answer = found.do_answer
+
+    def do_answer(sock, request):
+        if request.target != path:
+            return answer(sock, request)
+        found.ran.append(request.value("Peridothitch-Attempt-Id"))
+        found.close()
+        return False
+
+    found.do_answer = do_answer
+
+
+@behave.when('callers get "{path}" until it is suspended')
+def get_deadly(context, path):
+    for _ in range(_TRIES):
+        answer = context.bench.request(path, "GET")
+        if answer.status == 503 and json.loads(answer.body)["code"] == 1015:
+            return
+        time.sleep(0.05)
+    raise AssertionError(f"it was never suspended: {answer}")
+
+
+@behave.then("other requests are still answered")
+def check_others(context):
+    answer = context.bench.request("/lookup/harmless", "GET")
+    assert answer.status == 200, answer
--- a/src/peridothitch/gateway/forwarding/attempts.py
+++ b/src/peridothitch/gateway/forwarding/attempts.py
@@ -20,6 +20,9 @@
 _MAX_SENDS = 4
 """Most upstreams that a request is sent to, those that did not run it included."""
 
+_MAX_CONNECT_FAILURES = 8
+"""Most upstreams that can't be reached before a request is given up."""
+
 _FIRST_URGENCY = 3
 _LAST_URGENCY = 9
 """Upstreams order requests by urgency from 0 to 9; routes' priorities begin at 0."""
@@ -57,6 +60,7 @@
         self._runs = 0
         self._arrivals = 0
         self._sends = 0
+        self._connect_failures = 0
         self._reported = False
         self._last_error = None
 
@@ -159,8 +163,10 @@
             raise self._error(errors.Code.CALLER_GONE, "the caller has left")
         if parts.clock.monotonic() >= job.deadline:
             raise self._error(errors.Code.DEADLINE_EXCEEDED, "the time is up")
-        if self._sends >= _MAX_SENDS or (
-            self._runs and self._runs >= job.route.attempts
+        if (
+            self._sends >= _MAX_SENDS
+            or self._connect_failures >= _MAX_CONNECT_FAILURES
+            or (self._runs and self._runs >= job.route.attempts)
         ):
             raise self._exhausted("no attempt is left")
         if self._arrivals and not parts.budgets.spend(job.service):
@@ -263,7 +269,9 @@
         job, host = self._job, attempt.host
         self._last_error = error
         if error.ran is errors.Ran.NO:
-            if error.code is errors.Code.UPSTREAM_REFUSED and attempt.answer is None:
+            if attempt.answer is None:
+                self._sends -= 1
+                self._connect_failures += 1
                 self._parts.book.note_break(host, "connect")
         else:
             self._runs += 1
--- a/src/peridothitch/gateway/forwarding/catalogue.py
+++ b/src/peridothitch/gateway/forwarding/catalogue.py
@@ -62,6 +62,11 @@
         """Whether rules and hosts are known."""
         return self.table is not None and self._hosts.is_known
 
+    @property
+    def hosts_revision(self):
+        """Store revision up to which changes of the hosts are known."""
+        return self._hosts.revision
+
     def wait_known(self, timeout):
         """Wait until rules and hosts are known; returns whether they are.
 
--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -245,6 +245,10 @@
         """IP number and port that other entry hosts connect to."""
         return self._fleet.address
 
+    def members(self):
+        """Return the entry hosts believed live by id."""
+        return self._fleet.peers.members()
+
     def is_ready(self):
         """Return whether the balancer should send callers here."""
         return self._ready and not self._stopping and self.catalogue.is_known
@@ -290,6 +294,10 @@
         self._stop.set()
         self._platform.store.close()
         self._server.close()
+        for server in self._status_servers:
+            server.close()
+        self._background.shutdown(wait=False, cancel_futures=True)
+        self._fleet.close()
         _log.info("stopped", active=self._front.active)
 
     def _may_end(self, began, latest):
