--- /dev/null
+++ b/features/quota_fleet.py
@@ -0,0 +1,151 @@
+"""Plays customers' load against the shares and meters of a fleet of entry hosts."""
+
+import collections
+import datetime
+import random
+
+from peridothitch.policy import quota_shares, token_quota
+from peridothitch.ports import forwarding
+from peridothitch.ports import site as sites
+
+CUSTOMER = "lanark"
+QUOTA = forwarding.Quota(rate=100_000.0, burst=100_000.0, counts_tokens=True)
+STEP_SECONDS = 0.05
+MEAN_TOKENS = 5000.0
+SPAN_SECONDS = 8.0
+
+PROMISES = sites.Promises(
+    grace=datetime.timedelta(seconds=8),
+    contact_time=datetime.timedelta(seconds=4),
+    retry_share=0.2,
+    retry_allowance=54.0,
+    retry_window=datetime.timedelta(seconds=10),
+    quota_window=datetime.timedelta(seconds=SPAN_SECONDS),
+    quota_excess_share=0.1,
+    quota_excess=72_000.0,
+    lease_time=datetime.timedelta(seconds=3),
+    orders_are_fenced=True,
+    usage_window=datetime.timedelta(seconds=5),
+    usage_delay=datetime.timedelta(seconds=10),
+    exposed_share=0.1,
+    exposed_count=50,
+)
+
+PERMITTED = (QUOTA.rate * SPAN_SECONDS + QUOTA.burst) * 1.1 + 72_000.0
+
+
+class _Host:
+    def __init__(self, name, incarnation, weight, whole, now, source, count):
+        self.name = name
+        self.incarnation = incarnation
+        self.weight = weight
+        self.share = 1.0 / count
+        self.meter = token_quota.CustomerMeter(
+            SPAN_SECONDS, self.share * whole, now, source
+        )
+
+    def report(self, whole, now):
+        return quota_shares.QuotaReport(
+            host_id=self.name,
+            incarnation=self.incarnation,
+            share_by_customer={CUSTOMER: self.share},
+            used_by_customer={CUSTOMER: self.meter.used(now) / whole},
+            demand_by_customer={CUSTOMER: self.meter.demand(now)},
+        )
+
+
+class QuotaFleet:
+    """Entry hosts that report every second to one that grants shares.
+
+    Attributes
+    ----------
+    passed : list of (float, float)
+        Time and tokens of each request let pass.
+    asked, refused : int
+        Requests.
+    """
+
+    def __init__(self, count, seed):
+        self._random = random.Random(seed)
+        self._count = count
+        self._whole = token_quota.window_limit(QUOTA, PROMISES)
+        self._now = 0.0
+        self._hosts = []
+        self.passed = []
+        self.asked = self.refused = 0
+        self._start("first")
+
+    def _start(self, incarnation):
+        self._ledger = quota_shares.QuotaShares()
+        self._hosts = [
+            _Host(
+                f"edge-{number}",
+                incarnation,
+                self._random.uniform(0.3, 1.7),
+                self._whole,
+                self._now,
+                self._random,
+                self._count,
+            )
+            for number in range(self._count)
+        ]
+
+    def restart(self):
+        """Start all processes again; they remember nothing."""
+        self._start(f"after-{self._now}")
+
+    def idle(self, seconds):
+        """Let time pass without requests."""
+        self._now += seconds
+
+    def play(self, multiple, seconds):
+        """Ask for a multiple of the quota's rate, unevenly, for a time."""
+        end = self._now + seconds
+        next_report = self._now
+        weights = [host.weight for host in self._hosts]
+        per_step = multiple * QUOTA.rate / MEAN_TOKENS * STEP_SECONDS
+        while self._now < end:
+            self._now += STEP_SECONDS
+            if self._now >= next_report:
+                next_report += 1.0
+                self._report()
+            for _ in range(self._draw(per_step)):
+                (host,) = self._random.choices(self._hosts, weights)
+                self._ask(host)
+
+    def _draw(self, mean):
+        whole = int(mean)
+        return whole + (self._random.random() < mean - whole)
+
+    def _ask(self, host):
+        tokens = min(20_000.0, self._random.expovariate(1 / MEAN_TOKENS))
+        self.asked += 1
+        if host.meter.ask(tokens, self._now):
+            self.passed.append((self._now, tokens))
+        else:
+            self.refused += 1
+
+    def _report(self):
+        now = datetime.timedelta(seconds=self._now)
+        for host in self._hosts:
+            report = host.report(self._whole, self._now)
+            shares = self._ledger.grant(report, self._count, now)
+            host.share = shares.get(CUSTOMER, 1.0 / self._count)
+            host.meter.limit = host.share * self._whole
+
+    def most_in_span(self):
+        """Return the most tokens let pass in any span."""
+        window = collections.deque()
+        used = most = 0.0
+        for at, tokens in self.passed:
+            window.append((at, tokens))
+            used += tokens
+            while window[0][0] <= at - SPAN_SECONDS:
+                used -= window.popleft()[1]
+            most = max(most, used)
+        return most
+
+    def passed_rate(self):
+        """Return the tokens let pass a second, over the whole time played."""
+        duration = self.passed[-1][0] - self.passed[0][0]
+        return sum(tokens for _, tokens in self.passed) / duration
--- a/src/peridothitch/policy/token_quota.py
+++ b/src/peridothitch/policy/token_quota.py
@@ -22,10 +22,17 @@
 _DEMAND_SECONDS = 3.0
 """Time constant of the demand's average; above the reports' period of a second."""
 
+_LOWEST_RATE = 1e-9
 _LEAST_AGE_SECONDS = 1.0
 """Less time says too little about the demand."""
 
-_ASSUMED_USE = 0.9
+_BURST_PART = 0.4
+"""Part of a share that may be used at once; the rest is paced over the span.
+
+A process that starts can then tell what the one before it may have used.
+"""
+
+_ASSUMED_USE = 1.0
 """Part of its share that a new process takes to be used by the one before it."""
 
 _ASSUMED_STEPS = 8
@@ -94,6 +101,8 @@
         self._demand_at = now
         self._asked_since = None
         self.limit = limit
+        self._pace = 0.0
+        self._paced_at = now
         self._assumed = set()
         for step in range(_ASSUMED_STEPS):
             at = now - window * (1 - (step + 1) / _ASSUMED_STEPS)
@@ -143,28 +152,40 @@
             self._asked_since = now
         self._demand = self._faded_demand(now) + units / _DEMAND_SECONDS
         self._demand_at = now
-        if self._used + units * self._random.random() > self.limit:
+        self._refill(now)
+        if self._pace <= 0 or self._used + units * self._random.random() > self.limit:
             return False
+        self._pace -= units
         self._add(_Use(now, units))
         return True
 
+    def _refill(self, now):
+        passed = max(0.0, now - self._paced_at)
+        self._paced_at = now
+        refilled = self._pace + passed * self.limit / self._window
+        self._pace = min(_BURST_PART * self.limit, refilled)
+
     def give_back(self, units):
         """Return the units of a request that did not run."""
         for index in range(len(self._uses) - 1, -1, -1):
             if self._uses[index].units == units:
                 del self._uses[index]
                 self._used -= units
+                self._pace += units
                 return
 
     def wait_seconds(self, units, now):
         """Return how long it takes until a request of a size likely fits."""
+        rate = max(self.limit / self._window, _LOWEST_RATE)
+        wait = max(0.0, -self._pace / rate)
         excess = self._used + units / 2 - self.limit
         for use in self._uses:
             if excess <= 0:
-                return 0.0
+                return min(self._window, wait)
             excess -= use.units
             if excess <= 0:
-                return max(0.0, use.at + self._window - now)
+                wait = max(wait, use.at + self._window - now)
+                return min(self._window, wait)
         return self._window
 
     def _add(self, use):
