--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -16,8 +16,8 @@
     capacity_duty,
     catalogue,
     duty_keeper,
+    fleet_record,
     fleet_reports,
-    fleet_size,
     front,
     host_book,
     peer_sync,
@@ -140,7 +140,8 @@
             peers, self._find_holder, self._make_report, clock, self.metrics
         )
         self._reports.subscribe(self._quotas.take_view)
-        self._size = fleet_size.FleetSizeRecord(service, leases, self._reports)
+        self._leases = leases
+        leases.subscribe(self._take_record)
         self._keeper = duty_keeper.DutyKeeper(
             self._lease,
             site.promises.lease_time,
@@ -207,7 +208,15 @@
 
     def _make_duties(self):
         client = self._platform.duties
-        duties = [self._size]
+        duties = [
+            fleet_record.FleetRecordDuty(
+                self._platform.store,
+                self._leases,
+                self._reports,
+                self.catalogue,
+                self._clock,
+            )
+        ]
         if client is not None and self._site.reports_usage:
             duties.append(
                 usage_duty.UsageDuty(
@@ -330,7 +339,11 @@
         view = self._reports.view
         if view is not None:
             return max(known, view.host_count)
-        return max(known, self._size.read() or _ASSUMED_HOSTS)
+        recorded = fleet_record.read_record(self._leases).host_count
+        return max(known, recorded or _ASSUMED_HOSTS)
+
+    def _take_record(self):
+        self._quotas.take_record(fleet_record.read_record(self._leases))
 
     def _find_holder(self):
         return self._keeper.find_holder()
--- /dev/null
+++ b/src/peridothitch/gateway/forwarding/fleet_record.py
@@ -0,0 +1,104 @@
+"""What the store keeps of the fleet for entry hosts that have just started.
+
+A host that starts shares quotas and repeats with the others before it has heard from
+any of them, and processes that were killed at the same moment have left no other trace
+of what they let pass.
+"""
+
+import datetime
+
+import logbook
+import msgspec
+
+from peridothitch.coordination import lease
+from peridothitch.ports import store
+
+__all__ = ["FleetRecord", "FleetRecordDuty", "read_record"]
+
+_KEY = lease.PREFIX + "fleet"
+_PRESSED = 0.6
+"""Part of a quota's rate from which a customer may come near to its quota."""
+
+_LEAST_PERIOD = datetime.timedelta(seconds=1)
+_log = logbook.Logger(__name__)
+
+
+class FleetRecord(msgspec.Struct, frozen=True):
+    """The record.
+
+    Attributes
+    ----------
+    host_count : int
+        Entry hosts.
+    pressed : tuple of str
+        Customers that may be near to their quotas, in order.
+    """
+
+    host_count: int = 0
+    pressed: tuple[str, ...] = ()
+
+
+def read_record(leases):
+    """Return the `FleetRecord` in a mirror, an empty one if there is none."""
+    item = leases.items().get(_KEY)
+    if item is None:
+        return FleetRecord()
+    try:
+        return msgspec.json.decode(item.value, type=FleetRecord)
+    except msgspec.MsgspecError as error:
+        _log.error("fleet record can't be read", reason=str(error))
+        return FleetRecord()
+
+
+class FleetRecordDuty:
+    """Writes the record while this host holds the duties.
+
+    Parameters
+    ----------
+    service : peridothitch.ports.store.Store
+    leases : peridothitch.coordination.mirror.Mirror
+        Mirror of the prefix that the record lies under.
+    reports : peridothitch.gateway.forwarding.fleet_reports.FleetReports
+    catalogue : peridothitch.gateway.forwarding.catalogue.Catalogue
+    clock : peridothitch.ports.clock.Clock
+    """
+
+    def __init__(self, service, leases, reports, catalogue, clock):
+        self._store = service
+        self._leases = leases
+        self._reports = reports
+        self._catalogue = catalogue
+        self._clock = clock
+        self._next_write = clock.monotonic()
+
+    def step(self, permit):
+        """Write the record if it has changed."""
+        view, table = self._reports.view, self._catalogue.table
+        now = self._clock.monotonic()
+        if view is None or table is None or now < self._next_write:
+            return
+        known = read_record(self._leases)
+        record = FleetRecord(
+            host_count=max(view.host_count, known.host_count),
+            pressed=_pressed(table, view.demand_by_customer),
+        )
+        if record == known:
+            return
+        self._next_write = now + _LEAST_PERIOD
+        value = msgspec.json.encode(record)
+        self._store.transact([], [store.Put(_KEY, value)])
+        _log.info(
+            "fleet record written",
+            host_count=record.host_count,
+            pressed=",".join(record.pressed),
+        )
+
+
+def _pressed(table, demand_by_customer):
+    names = {
+        customer.name
+        for customer in table.customer_by_key.values()
+        if customer.quota is not None
+        and demand_by_customer.get(customer.name, 0.0) > _PRESSED * customer.quota.rate
+    }
+    return tuple(sorted(names))
--- a/src/peridothitch/gateway/forwarding/quotas.py
+++ b/src/peridothitch/gateway/forwarding/quotas.py
@@ -38,6 +38,7 @@
         self._random = random.Random()
         self._granted_at = None
         self._is_corrected = False
+        self._pressed = None
 
     def take_table(self, table):
         """Begin to count for the customers of a `peridothitch.ports.forwarding.Table`.
@@ -51,6 +52,24 @@
                 if customer.quota is not None:
                     self._meter(customer, now)
 
+    def take_record(self, record):
+        """Take in what the store keeps of the fleet.
+
+        Parameters
+        ----------
+        record : peridothitch.gateway.forwarding.fleet_record.FleetRecord
+        """
+        with self._lock:
+            if self._pressed is None:
+                self._pressed = frozenset(record.pressed)
+                for name, meter in self._meter_by_name.items():
+                    self._relieve(name, meter)
+
+    def _relieve(self, name, meter):
+        """Assume no former use of a customer that was far from its quota."""
+        if self._pressed is not None and name not in self._pressed:
+            meter.correct_assumed(0.0)
+
     def take(self, customer, tokens):
         """Take what a request needs.
 
@@ -159,5 +178,6 @@
             window = self._promises.quota_window.total_seconds()
             meter = token_quota.CustomerMeter(window, limit, now, self._random)
             self._meter_by_name[customer.name] = meter
+            self._relieve(customer.name, meter)
         meter.limit = limit
         return meter
--- a/src/peridothitch/policy/token_quota.py
+++ b/src/peridothitch/policy/token_quota.py
@@ -16,7 +16,7 @@
 _EVEN_PART = 0.15
 """Part of a quota that all entry hosts share evenly; covers demand not yet seen."""
 
-_USED_EXCESS = 0.6
+_USED_EXCESS = 0.5
 """Part of the permitted excess that is planned; the rest covers restarts and chance."""
 
 _DEMAND_SECONDS = 3.0
@@ -126,6 +126,8 @@
             if use in self._assumed:
                 use = _Use(use.at, use.units * scale)
             self._add(use)
+        if self._assumed:
+            self._pace = max(self._pace, (1 - scale) * _BURST_PART * self.limit)
         self._assumed.clear()
 
     def demand(self, now):
@@ -153,7 +155,9 @@
         self._demand = self._faded_demand(now) + units / _DEMAND_SECONDS
         self._demand_at = now
         self._refill(now)
-        if self._pace <= 0 or self._used + units * self._random.random() > self.limit:
+        # A request that fits in part passes with that part's probability.
+        part = units * self._random.random()
+        if part > self._pace or self._used + part > self.limit:
             return False
         self._pace -= units
         self._add(_Use(now, units))
