--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV ?= $(CACHE)/venv-$(LOCK)
 RUN := PYTHONPATH=src $(VENV)/bin/python
 
-.PHONY: run test check format build docs mutants venv
+.PHONY: run platform test check format build docs mutants venv
 
 venv: $(VENV)/.done
 
@@ -16,6 +16,9 @@
 run: venv
 	$(RUN) -m peridothitch run
 
+platform: venv
+	$(RUN) -m peridothitch standin platform
+
 test: venv
 	$(RUN) tools/run_tests.py
 
--- /dev/null
+++ b/features/duties.feature
@@ -0,0 +1,34 @@
+Feature: One entry host does the platform's duties for all
+
+  Scenario Outline: Usage is reported once with the same counts
+    Given the usage of a window is due
+    When the report goes out while <trouble>
+    And a successor reports it again after more counts have come in
+    Then every report of the window had the same counts
+
+    Examples:
+      | trouble                             |
+      | nothing is wrong                    |
+      | the platform's answer is lost       |
+      | the answer to the write is lost     |
+      | the write to the store is refused   |
+
+  Scenario: A holder that was superseded stops
+    Given the usage of a window is due
+    When another host has reported with a higher number
+    Then the holder gives up its lease
+
+  Scenario: A new holder waits for the hosts' counts
+    Given the usage of a window is due
+    And the duties have just been taken
+    Then nothing is reported before the hosts had time to report
+
+  Scenario: A mirror never goes back
+    Given a mirror of a prefix
+    When peers and the store tell it of changes in any order
+    Then its revision only grows and its content is that of the revision
+
+  Scenario: A mirror survives a dropped history
+    Given a mirror of a prefix
+    When the history is dropped while it does not look
+    Then it reads everything again and has the newest content
--- /dev/null
+++ b/features/steps/duties_steps.py
@@ -0,0 +1,257 @@
+"""Steps for duties and mirrors."""
+
+import datetime
+import threading
+
+import behave
+import hypothesis
+import quota_fleet
+import virtual_clock
+from hypothesis import strategies as st
+
+from peridothitch import errors
+from peridothitch.adapters import memory_store, metrics
+from peridothitch.coordination import lease, mirror
+from peridothitch.gateway.forwarding import peer_sync, usage_duty
+from peridothitch.ports import duties
+from peridothitch.ports import store as stores
+
+_SETTINGS = hypothesis.settings(max_examples=100, deadline=None, derandomize=True)
+
+
+class _Platform(duties.PlatformDuties):
+    """Keeps the reports; can lose an answer."""
+
+    def __init__(self):
+        self.reports = []
+        self.lose_next = False
+        self.highest = 0
+
+    def report_usage(self, report, fencing_number):
+        if fencing_number < self.highest:
+            return duties.DutyAnswer(False, superseded=True)
+        self.highest = fencing_number
+        self.reports.append(report)
+        if self.lose_next:
+            self.lose_next = False
+            raise errors.CloudError(errors.Code.CLOUD_UNCLEAR, "lost")
+        return duties.DutyAnswer(True)
+
+    def order_capacity(self, order, fencing_number):
+        raise NotImplementedError
+
+
+class _TroubledStore:
+    """Passes calls on; can refuse a write or lose its answer."""
+
+    def __init__(self, service):
+        self._service = service
+        self.trouble = ""
+
+    def __getattr__(self, name):
+        return getattr(self._service, name)
+
+    def transact(self, compares, writes):
+        trouble, self.trouble = self.trouble, ""
+        if trouble == "refuse":
+            raise errors.StoreUnavailableError("refused")
+        result = self._service.transact(compares, writes)
+        if trouble == "lose":
+            raise errors.StoreUnclearError("lost")
+        return result
+
+
+class _Reports:
+    def __init__(self):
+        self.counts = {}
+
+    def counts_by_process(self):
+        return {"edge-1/a": self.counts}
+
+
+class _Lease:
+    """A lease that is held until it is abandoned."""
+
+    def __init__(self, number):
+        self.number = number
+        self.abandoned = False
+
+    def permit(self):
+        if self.abandoned:
+            raise errors.LeaseError("abandoned")
+        return lease.Permit(self.number, datetime.timedelta(hours=1))
+
+    def abandon(self):
+        self.abandoned = True
+
+
+def _make_duty(context, number):
+    held = _Lease(number)
+    duty = usage_duty.UsageDuty(
+        context.platform,
+        context.store,
+        held,
+        context.reports,
+        peer_sync.SharedTime(context.clock),
+        quota_fleet.PROMISES,
+        context.clock,
+        metrics.Metrics(),
+    )
+    return duty, held
+
+
+@behave.given("the usage of a window is due")
+def make_due(context):
+    context.clock = virtual_clock.VirtualClock()
+    context.store = _TroubledStore(memory_store.MemoryStore(context.clock))
+    context.platform = _Platform()
+    context.reports = _Reports()
+    context.duty, context.held = _make_duty(context, 7)
+    _run(context.duty, context.held, context.clock)
+    context.platform.reports.clear()
+    seconds = datetime.timedelta(seconds=1)
+    context.window = int(context.clock.now().timestamp()) // 5
+    context.reports.counts = {context.window: {"lanark": 41}}
+    context.clock.advance(7.5 * seconds)
+
+
+def _run(duty, held, clock, steps=24):
+    for _ in range(steps):
+        clock.advance(datetime.timedelta(milliseconds=250))
+        try:
+            duty.step(held.permit())
+        except errors.CodedError:
+            continue
+
+
+_TROUBLES = {
+    "nothing is wrong": lambda context: None,
+    "the platform's answer is lost": lambda context: setattr(
+        context.platform, "lose_next", True
+    ),
+    "the answer to the write is lost": lambda context: setattr(
+        context.store, "trouble", "lose"
+    ),
+    "the write to the store is refused": lambda context: setattr(
+        context.store, "trouble", "refuse"
+    ),
+}
+
+
+@behave.when("the report goes out while {trouble}")
+def report(context, trouble):
+    _TROUBLES[trouble](context)
+    _run(context.duty, context.held, context.clock, steps=8)
+
+
+@behave.when("a successor reports it again after more counts have come in")
+def succeed(context):
+    context.reports.counts = {context.window: {"lanark": 44}}
+    duty, held = _make_duty(context, 9)
+    _run(duty, held, context.clock, steps=4)
+
+
+@behave.then("every report of the window had the same counts")
+def check_same(context):
+    counts = [
+        r.count_by_customer
+        for r in context.platform.reports
+        if r.window == context.window
+    ]
+    assert counts and all(found == {"lanark": 41} for found in counts), counts
+
+
+@behave.when("another host has reported with a higher number")
+def outrun(context):
+    context.platform.highest = 99
+    _run(context.duty, context.held, context.clock, steps=8)
+
+
+@behave.then("the holder gives up its lease")
+def check_abandoned(context):
+    assert context.held.abandoned
+
+
+@behave.given("the duties have just been taken")
+def take_duties(context):
+    context.duty, context.held = _make_duty(context, 11)
+
+
+@behave.then("nothing is reported before the hosts had time to report")
+def check_waits(context):
+    first = len(context.platform.reports)
+    _run(context.duty, context.held, context.clock, steps=4)
+    own = [r.window for r in context.platform.reports[first:]]
+    assert context.window not in own, own
+    _run(context.duty, context.held, context.clock, steps=8)
+    own = [r.window for r in context.platform.reports[first:]]
+    assert context.window in own, own
+
+
+@behave.given("a mirror of a prefix")
+def make_mirror(context):
+    context.clock = virtual_clock.VirtualClock()
+    context.store = memory_store.MemoryStore(context.clock)
+    context.mirror = mirror.Mirror(
+        "op/", context.store, context.clock, metrics.Metrics()
+    )
+
+
+def _state(revision, values):
+    items = tuple((key, value, rev, rev) for key, (value, rev) in values.items())
+    return mirror.MirrorState(
+        "op/", revision, tuple(mirror.MirrorItem(*i) for i in items)
+    )
+
+
+@behave.when("peers and the store tell it of changes in any order")
+def tell(context):
+    context.checked = False
+
+    @_SETTINGS
+    @hypothesis.given(st.permutations(range(1, 9)), st.lists(st.integers(1, 8)))
+    def run(order, repeats):
+        found = mirror.Mirror("op/", None, context.clock, metrics.Metrics())
+        seen = 0
+        for revision in [*order, *repeats]:
+            values = {"op/config": (b"%d" % revision, revision)}
+            news = found.merge(_state(revision, values))
+            assert news == (revision > seen)
+            seen = max(seen, revision)
+            assert found.revision == seen
+            assert found.items()["op/config"].value == b"%d" % seen
+        context.checked = True
+
+    run()
+
+
+@behave.then("its revision only grows and its content is that of the revision")
+def check_grown(context):
+    assert context.checked
+
+
+@behave.when("the history is dropped while it does not look")
+def drop_history(context):
+    service = context.store
+    service.transact([], [stores.Put("op/config", b"1")])
+    context.mirror.read()
+    service.transact([], [stores.Put("op/config", b"2"), stores.Put("op/x", b"3")])
+    context.stop = threading.Event()
+
+    class _Gone(stores.Watch):
+        def poll(self, timeout):
+            context.stop.set()
+            raise errors.StoreHistoryGoneError("gone")
+
+        def close(self):
+            pass
+
+    service.watch = lambda prefix, start: _Gone()
+    context.mirror.run(context.stop)
+
+
+@behave.then("it reads everything again and has the newest content")
+def check_newest(context):
+    items = context.mirror.items()
+    assert items["op/config"].value == b"2"
+    assert items["op/x"].value == b"3"
--- a/src/peridothitch/cli/main.py
+++ b/src/peridothitch/cli/main.py
@@ -15,6 +15,7 @@
     "bill",
     "completion",
     "config",
+    "explain",
     "forward",
     "run",
     "serve",
--- a/src/peridothitch/cli/standin.py
+++ b/src/peridothitch/cli/standin.py
@@ -122,6 +122,20 @@
     processes.serve_application(clouds.CloudService(memory), listen, _announce)
 
 
+@standin.command(cls=settings.SettingsCommand)
+@_listen
+def platform(listen):
+    """Run an entry host before stand-ins of the users' platform."""
+    from peridothitch.cli import platform_trial
+
+    processes.block_stop_signals()
+    trial = platform_trial.PlatformTrial(listen)
+    trial.start()
+    click.echo(f"listening on port {trial.port}; try:\n\n  {trial.command}\n")
+    processes.wait_for_stop()
+    trial.stop()
+
+
 def _parse_offer(line):
     parts = line.split(",")
     if len(parts) != 4 or parts[2] not in _KINDS:
--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -16,7 +16,7 @@
 from peridothitch import errors
 from peridothitch.ports import store
 
-__all__ = ["Mirror", "MirrorState"]
+__all__ = ["Mirror", "MirrorItem", "MirrorState"]
 
 _POLL_TIME = datetime.timedelta(seconds=20)
 """Wait of one watch call; each call is paid for, and a lost connection shows sooner."""
@@ -28,7 +28,9 @@
 _log = logbook.Logger(__name__)
 
 
-class _Item(msgspec.Struct, frozen=True, array_like=True):
+class MirrorItem(msgspec.Struct, frozen=True, array_like=True):
+    """One key as hosts tell it to each other."""
+
     key: str
     value: bytes
     create_revision: int
@@ -48,7 +50,7 @@
 
     prefix: str
     revision: int
-    items: tuple[_Item, ...] = ()
+    items: tuple[MirrorItem, ...] = ()
 
 
 class Mirror:
@@ -117,7 +119,9 @@
         """Return the content as `MirrorState`."""
         with self._lock:
             items = tuple(
-                _Item(item.key, item.value, item.create_revision, item.mod_revision)
+                MirrorItem(
+                    item.key, item.value, item.create_revision, item.mod_revision
+                )
                 for item in self._item_by_key.values()
             )
             return MirrorState(self.prefix, self.revision, items)
--- a/src/peridothitch/gateway/forwarding/fleet_record.py
+++ b/src/peridothitch/gateway/forwarding/fleet_record.py
@@ -16,8 +16,11 @@
 __all__ = ["FleetRecord", "FleetRecordDuty", "read_record"]
 
 _KEY = lease.PREFIX + "fleet"
-_PRESSED = 0.6
-"""Part of a quota's rate from which a customer may come near to its quota."""
+_LEAST_PART = 0.3
+"""Demand below this part of a quota's rate is not recorded."""
+
+_STEP = 0.2
+"""Change of a part that is written; smaller ones would cost a write each second."""
 
 _LEAST_PERIOD = datetime.timedelta(seconds=1)
 _log = logbook.Logger(__name__)
@@ -30,12 +33,12 @@
     ----------
     host_count : int
         Entry hosts.
-    pressed : tuple of str
-        Customers that may be near to their quotas, in order.
+    part_by_customer : dict of str to float
+        Demand as a part of the quota's rate, of customers that use much of it.
     """
 
     host_count: int = 0
-    pressed: tuple[str, ...] = ()
+    part_by_customer: dict[str, float] = {}
 
 
 def read_record(leases):
@@ -80,9 +83,9 @@
         known = read_record(self._leases)
         record = FleetRecord(
             host_count=max(view.host_count, known.host_count),
-            pressed=_pressed(table, view.demand_by_customer),
+            part_by_customer=_parts(table, view.demand_by_customer),
         )
-        if record == known:
+        if not _differs(record, known):
             return
         self._next_write = now + _LEAST_PERIOD
         value = msgspec.json.encode(record)
@@ -90,15 +93,28 @@
         _log.info(
             "fleet record written",
             host_count=record.host_count,
-            pressed=",".join(record.pressed),
+            customers=len(record.part_by_customer),
         )
 
 
-def _pressed(table, demand_by_customer):
-    names = {
-        customer.name
-        for customer in table.customer_by_key.values()
-        if customer.quota is not None
-        and demand_by_customer.get(customer.name, 0.0) > _PRESSED * customer.quota.rate
-    }
-    return tuple(sorted(names))
+def _parts(table, demand_by_customer):
+    part_by_customer = {}
+    for customer in table.customer_by_key.values():
+        if customer.quota is None:
+            continue
+        part = demand_by_customer.get(customer.name, 0.0) / customer.quota.rate
+        if part >= _LEAST_PART:
+            part_by_customer[customer.name] = round(min(part, 1.0 + _STEP), 1)
+    return part_by_customer
+
+
+def _differs(record, known):
+    """Return whether a record is worth a write."""
+    if record.host_count != known.host_count:
+        return True
+    names = record.part_by_customer.keys() | known.part_by_customer.keys()
+    return any(
+        abs(record.part_by_customer.get(n, 0.0) - known.part_by_customer.get(n, 0.0))
+        >= _STEP
+        for n in names
+    )
--- a/src/peridothitch/gateway/forwarding/quotas.py
+++ b/src/peridothitch/gateway/forwarding/quotas.py
@@ -38,7 +38,7 @@
         self._random = random.Random()
         self._granted_at = None
         self._is_corrected = False
-        self._pressed = None
+        self._recorded = None
 
     def take_table(self, table):
         """Begin to count for the customers of a `peridothitch.ports.forwarding.Table`.
@@ -60,15 +60,16 @@
         record : peridothitch.gateway.forwarding.fleet_record.FleetRecord
         """
         with self._lock:
-            if self._pressed is None:
-                self._pressed = frozenset(record.pressed)
+            if self._recorded is None:
+                self._recorded = dict(record.part_by_customer)
                 for name, meter in self._meter_by_name.items():
                     self._relieve(name, meter)
 
     def _relieve(self, name, meter):
-        """Assume no former use of a customer that was far from its quota."""
-        if self._pressed is not None and name not in self._pressed:
-            meter.correct_assumed(0.0)
+        """Assume as much former use of a customer as the record tells."""
+        if self._recorded is None:
+            return
+        meter.correct_assumed(min(1.0, self._recorded.get(name, 0.0)))
 
     def take(self, customer, tokens):
         """Take what a request needs.
--- a/src/peridothitch/gateway/forwarding/usage_duty.py
+++ b/src/peridothitch/gateway/forwarding/usage_duty.py
@@ -20,6 +20,12 @@
 _SETTLE_TIME = datetime.timedelta(seconds=2)
 """From a window's end until its counts are final: two periods of the hosts' reports."""
 
+_GATHER_TIME = datetime.timedelta(seconds=1.8)
+"""From taking the duties until all hosts have reported to their new holder."""
+
+_DUE_MARGIN = datetime.timedelta(seconds=1)
+"""A report that is nearly due is sent with the counts that are there."""
+
 _RETRY_DELAY = datetime.timedelta(seconds=1)
 _KEPT_WINDOWS = 8
 """Windows whose records are kept in the store for a successor."""
@@ -64,7 +70,7 @@
         self._fencing_number = 0
         self._sent = set()
         self._written = {}
-        self._next_try = clock.monotonic()
+        self._next_try = self._gathered_at = clock.monotonic()
 
     def step(self, permit):
         """Send the reports that are due."""
@@ -72,6 +78,7 @@
             self._fencing_number = permit.fencing_number
             self._sent.clear()
             self._written = self._read_written()
+            self._gathered_at = self._clock.monotonic() + _GATHER_TIME
         if self._clock.monotonic() < self._next_try:
             return
         for window in self._due_windows():
@@ -82,7 +89,12 @@
         now = self._time.now()
         newest = usage_windows.window_of(now - _SETTLE_TIME, window) - 1
         oldest = usage_windows.window_of(now - self._promises.usage_delay, window) - 1
-        return [w for w in range(oldest, newest + 1) if w not in self._sent]
+        due = [w for w in range(oldest, newest + 1) if w not in self._sent]
+        if self._clock.monotonic() >= self._gathered_at:
+            return due
+        urgent = now - self._promises.usage_delay + _DUE_MARGIN
+        last_urgent = usage_windows.window_of(urgent, window) - 1
+        return [w for w in due if w in self._written or w <= last_urgent]
 
     def _send(self, window):
         counts = self._settle(window)
