--- a/features/forwarding_decisions.feature
+++ b/features/forwarding_decisions.feature
@@ -12,6 +12,15 @@
     When 7 hosts are asked for 0.6 times a quota for 40 seconds
     Then at most 2 in 100 requests are refused
 
+  Scenario: Many hosts refuse nothing while the quota is far away
+    When 80 hosts are asked for 0.5 times a quota for 40 seconds
+    Then at most 2 in 100 requests are refused
+
+  Scenario: A sudden multiple of the usual demand
+    When 7 hosts are asked for 0.55 times a quota for 20 seconds
+    And then for 4.2 times a quota for 20 seconds
+    Then in every span at most the permitted use is let pass
+
   Scenario: Many hosts with shares smaller than one request
     When 80 hosts are asked for 5 times a quota for 40 seconds
     Then in every span at most the permitted use is let pass
--- a/features/forwarding_faults.feature
+++ b/features/forwarding_faults.feature
@@ -61,6 +61,11 @@
     And a caller posts to "/planner/1"
     Then the answer is cut off after the event 2
 
+  Scenario: Streams that break off when the repeats are used up are cut off
+    When each replica's next behaviour is "break_stream"
+    And a caller asks for 60 streams that may be resumed
+    Then each of them is cut off after the event 2
+
   Scenario: What a caller sets for itself does not reach a replica
     When a caller posts to "/planner/1" with headers that only entry hosts set
     Then none of these headers reached a replica
--- a/features/quota_fleet.py
+++ b/features/quota_fleet.py
@@ -77,6 +77,8 @@
 
     def _start(self, incarnation):
         self._ledger = quota_shares.QuotaShares()
+        self._total = 0.0
+        self._began = self._now
         self._hosts = [
             _Host(
                 f"edge-{number}",
@@ -96,7 +98,9 @@
 
     def idle(self, seconds):
         """Let time pass without requests."""
-        self._now += seconds
+        for _ in range(seconds):
+            self._now += 1.0
+            self._report()
 
     def play(self, multiple, seconds):
         """Ask for a multiple of the quota's rate, unevenly, for a time."""
@@ -120,7 +124,10 @@
     def _ask(self, host):
         tokens = min(20_000.0, self._random.expovariate(1 / MEAN_TOKENS))
         self.asked += 1
-        if host.meter.ask(tokens, self._now):
+        is_relaxed = self._now - self._began > 3.0 and token_quota.is_relaxed(
+            self._total, QUOTA
+        )
+        if host.meter.ask(tokens, self._now, is_relaxed):
             self.passed.append((self._now, tokens))
         else:
             self.refused += 1
@@ -132,6 +139,7 @@
             shares = self._ledger.grant(report, self._count, now)
             host.share = shares.get(CUSTOMER, 1.0 / self._count)
             host.meter.limit = host.share * self._whole
+        self._total = self._ledger.demand().get(CUSTOMER, 0.0)
 
     def most_in_span(self):
         """Return the most tokens let pass in any span."""
--- a/features/steps/forwarding_decisions_steps.py
+++ b/features/steps/forwarding_decisions_steps.py
@@ -96,6 +96,11 @@
     context.fleet.play(multiple, seconds)
 
 
+@behave.when("then for {multiple:g} times a quota for {seconds:d} seconds")
+def ask_more(context, multiple, seconds):
+    context.fleet.play(multiple, seconds)
+
+
 @behave.then("in every span at most the permitted use is let pass")
 def check_span(context):
     most = context.fleet.most_in_span()
--- a/features/steps/forwarding_faults_steps.py
+++ b/features/steps/forwarding_faults_steps.py
@@ -109,6 +109,22 @@
     assert answer.body.endswith(b"id: %d\ndata: token %d\n\n" % (last, last))
 
 
+@behave.when("a caller asks for {count:d} streams that may be resumed")
+def post_streams(context, count):
+    context.answers = [
+        context.bench.request(f"/helper/{number}") for number in range(count)
+    ]
+
+
+@behave.then("each of them is cut off after the event {last:d}")
+def check_all_cut(context, last):
+    end = b"id: %d\ndata: token %d\n\n" % (last, last)
+    for answer in context.answers:
+        assert answer.status == 200, answer
+        assert not answer.complete
+        assert answer.body.endswith(end), answer
+
+
 _OWN_HEADERS = (
     "Peridothitch-Cache-Retention",
     "Peridothitch-Pin-Ms",
--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -21,6 +21,9 @@
 _POLL_TIME = datetime.timedelta(seconds=20)
 """Wait of one watch call; each call is paid for, and a lost connection shows sooner."""
 
+_IDLE_TIME = datetime.timedelta(milliseconds=500)
+"""Between two questions whether the store is to be followed."""
+
 _FIRST_DELAY = datetime.timedelta(milliseconds=150)
 _LONGEST_DELAY = datetime.timedelta(seconds=1)
 """Between calls to a store that refuses them; refused calls are paid for, too."""
@@ -28,6 +31,10 @@
 _log = logbook.Logger(__name__)
 
 
+def _always():
+    return True
+
+
 class MirrorItem(msgspec.Struct, frozen=True, array_like=True):
     """One key as hosts tell it to each other."""
 
@@ -79,6 +86,7 @@
         self._item_by_key = {}
         self._digest = 0
         self._callbacks = []
+        self._should_follow = _always
         self._lost_at = None
         self._regained_at = None
         self._outage = datetime.timedelta(0)
@@ -115,6 +123,13 @@
         """Call ``callback()`` after each change, one call at a time."""
         self._callbacks.append(callback)
 
+    def follow_if(self, should_follow):
+        """Watch the store only while ``should_follow()`` is true.
+
+        What others have seen is merged meanwhile.
+        """
+        self._should_follow = should_follow
+
     def state(self):
         """Return the content as `MirrorState`."""
         with self._lock:
@@ -155,6 +170,9 @@
         """Follow the store until the event `stop` is set."""
         failures = 0
         while not stop.is_set():
+            if self.is_known and not self._should_follow():
+                self._clock.wait(stop, _IDLE_TIME)
+                continue
             try:
                 self._follow(stop)
             except errors.StoreHistoryGoneError:
@@ -184,7 +202,7 @@
             events = watch.poll(_POLL_TIME)
             self._note_contact()
             self._apply(events, watch.revision)
-            if self.revision > watch.revision:
+            if self.revision > watch.revision or not self._should_follow():
                 return
 
     def _apply(self, events, revision):
--- a/src/peridothitch/gateway/forwarding/attempts.py
+++ b/src/peridothitch/gateway/forwarding/attempts.py
@@ -132,6 +132,7 @@
     def note_break(self, attempt, error):
         """Learn from an answer that broke off."""
         host = attempt.host
+        self._last_error = error
         if self._is_cancelled:
             return
         if error.code is errors.Code.UPSTREAM_SILENT:
--- a/src/peridothitch/gateway/forwarding/catalogue.py
+++ b/src/peridothitch/gateway/forwarding/catalogue.py
@@ -16,6 +16,9 @@
 _OUTAGE = datetime.timedelta(milliseconds=800)
 """Shorter losses of contact let no record lapse."""
 
+_MASS_HOSTS = 3
+"""That many hosts and a third of all vanish together only when records lapse."""
+
 _log = logbook.Logger(__name__)
 
 
@@ -167,11 +170,18 @@
     def _note_lapses(self, decoded_by_key, now):
         for key in decoded_by_key:
             self._lapsed_by_key.pop(key, None)
-        if not self._may_have_lapsed(now):
+        gone = {
+            key: host
+            for key, (_, host) in self._decoded_by_key.items()
+            if key not in decoded_by_key and host is not None
+        }
+        is_mass = len(gone) >= _MASS_HOSTS and 3 * len(gone) >= len(
+            self._decoded_by_key
+        )
+        if not is_mass and not self._may_have_lapsed(now):
             return
-        for key, (_, host) in self._decoded_by_key.items():
-            if key not in decoded_by_key and host is not None:
-                self._lapsed_by_key[key] = host, now + _LAPSE_GRACE
+        for key, host in gone.items():
+            self._lapsed_by_key[key] = host, now + _LAPSE_GRACE
 
     def _may_have_lapsed(self, now):
         outage = self._hosts.last_outage
--- a/src/peridothitch/gateway/forwarding/duty_keeper.py
+++ b/src/peridothitch/gateway/forwarding/duty_keeper.py
@@ -50,6 +50,7 @@
         self._free_since = None
         self._next_renewal = clock.monotonic()
         self._was_held = False
+        self._is_retired = False
 
     def find_holder(self):
         """Return the id of the host that holds the lease, empty if none does."""
@@ -79,8 +80,9 @@
                 self._metrics.count("duty_failures")
                 _log.info("duty failed", duty=type(duty).__name__, reason=error.detail)
 
-    def release(self):
-        """Give the lease back."""
+    def retire(self):
+        """Give the lease back and take it no more."""
+        self._is_retired = True
         try:
             self._lease.release()
         except errors.StoreError as error:
@@ -100,7 +102,7 @@
         self._lease.step()
 
     def _is_my_turn(self, now):
-        if not self._leases.is_known or self.find_holder():
+        if self._is_retired or not self._leases.is_known or self.find_holder():
             self._free_since = None
             return False
         if self._free_since is None:
--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -117,6 +117,8 @@
         self._sync = peer_sync.PeerSync(
             self._mirrors, peers, self._time, clock, self.metrics
         )
+        for found in self._mirrors:
+            found.follow_if(self._sync.should_follow_store)
         self._windows = usage_windows.UsageWindows(
             site.promises.usage_window, _KEPT_WINDOWS
         )
@@ -292,14 +294,14 @@
         latest = began + self._site.promises.grace * _DRAIN_PART
         self._server.drain()
         self._front.drain(latest)
-        self._keeper.release()
-        self._fleet.leave()
+        self._keeper.retire()
         while not self._may_end(began, latest):
             self._clock.wait(self._stop, _DRAIN_STEP)
         self._server.close_idle()
         while self._server.busy_count and self._clock.monotonic() < latest:
             self._clock.wait(self._stop, _DRAIN_STEP)
         self._reports.send()
+        self._fleet.leave()
         self._stop.set()
         self._platform.store.close()
         self._server.close()
--- a/src/peridothitch/gateway/forwarding/peer_sync.py
+++ b/src/peridothitch/gateway/forwarding/peer_sync.py
@@ -1,6 +1,6 @@
 """Hosts that the store turns away learn from their peers what it holds.
 
-Every host asks a random peer now and then which revisions of the mirrored prefixes it
+Every host asks a peer now and then which revisions of the mirrored prefixes it
 has seen, and gets the content of those that it lacks. The answers also carry the
 peer's idea of true time.
 """
@@ -13,7 +13,7 @@
 import msgspec
 
 from peridothitch import errors
-from peridothitch.coordination import mirror
+from peridothitch.coordination import mirror, relays
 from peridothitch.policy import true_time
 
 __all__ = ["PeerSync", "SharedTime"]
@@ -23,6 +23,9 @@
 """News reach a host that asks two peers in vain well within the time for changes."""
 
 _TIMEOUT = datetime.timedelta(milliseconds=400)
+_FRESH_TIME = datetime.timedelta(seconds=2)
+"""A host that no peer has answered for so long follows the store itself."""
+
 _log = logbook.Logger(__name__)
 
 
@@ -82,8 +85,32 @@
         self._clock = clock
         self._metrics = metrics
         self._random = random.Random()
+        self._answered_at = None
+        self._asks_parent = False
         peers.register(_METHOD, self._answer)
 
+    def should_follow_store(self):
+        """Return whether this host should watch the store instead of asking peers.
+
+        A few hosts of each data centre watch it for the others.
+        """
+        if self._answered_at is None:
+            return True
+        if self._clock.monotonic() - self._answered_at > _FRESH_TIME:
+            return True
+        return relays.is_relay(self._peers.members(), self._peers.host_id)
+
+    def _choose(self):
+        """Return the peer to ask: the next one towards a relay and others in turn."""
+        members = self._peers.members()
+        own = self._peers.host_id
+        others = [host_id for host_id in members if host_id != own]
+        if not others:
+            return None
+        self._asks_parent = not self._asks_parent
+        parents = relays.ancestors(members, own) if self._asks_parent else []
+        return parents[0] if parents else self._random.choice(others)
+
     def run(self, stop):
         """Ask peers until the event `stop` is set."""
         while not self._clock.wait(stop, _PERIOD * self._random.uniform(0.8, 1.2)):
@@ -112,7 +139,7 @@
             self._metrics.count("peer_sync_failures")
             _log.debug("peer {} did not answer: {}", host_id, error)
             return False
-        ended = self._clock.monotonic()
+        ended = self._answered_at = self._clock.monotonic()
         moment = datetime.datetime.fromtimestamp(tell.now, datetime.UTC)
         self._time.note(host_id, moment, began + (ended - began) / 2)
         return self._merge(tell)
--- a/src/peridothitch/gateway/forwarding/quotas.py
+++ b/src/peridothitch/gateway/forwarding/quotas.py
@@ -10,6 +10,9 @@
 __all__ = ["QuotaBook"]
 
 _LONGEST_RETRY_AFTER = datetime.timedelta(seconds=5)
+_SETTLED_SECONDS = 3.0
+"""Time after which a holder's sum of the demand is one of all hosts."""
+
 _EXPIRED_PART = 0.25
 """Part of an even share that is used once others may have been granted it."""
 
@@ -37,6 +40,7 @@
         self._share_by_name = {}
         self._random = random.Random()
         self._granted_at = None
+        self._total_by_name = None
         self._is_corrected = False
         self._recorded = None
 
@@ -99,7 +103,7 @@
         now = self._clock.monotonic().total_seconds()
         with self._lock:
             meter = self._meter(customer, now)
-            if meter.ask(units, now):
+            if meter.ask(units, now, self._is_relaxed(customer)):
                 return units
             wait = datetime.timedelta(seconds=meter.wait_seconds(units, now))
         self._metrics.count("quota_refusals", customer=customer.name)
@@ -111,6 +115,12 @@
             retry_after=min(wait, _LONGEST_RETRY_AFTER),
         )
 
+    def _is_relaxed(self, customer):
+        if self._total_by_name is None:
+            return False
+        total = self._total_by_name.get(customer.name, 0.0)
+        return token_quota.is_relaxed(total, customer.quota)
+
     def give_back(self, customer, units):
         """Return the units of a request that did not run."""
         with self._lock:
@@ -147,6 +157,8 @@
         with self._lock:
             self._share_by_name = dict(view.share_by_customer)
             self._granted_at = self._clock.monotonic()
+            if view.age_seconds >= _SETTLED_SECONDS:
+                self._total_by_name = dict(view.demand_by_customer)
             # A holder that has just started itself knows too little of the demand.
             window = self._promises.quota_window.total_seconds()
             if view.age_seconds >= window and not self._is_corrected:
--- a/src/peridothitch/policy/token_quota.py
+++ b/src/peridothitch/policy/token_quota.py
@@ -11,7 +11,7 @@
 import dataclasses
 import math
 
-__all__ = ["CustomerMeter", "share_of", "window_limit"]
+__all__ = ["CustomerMeter", "is_relaxed", "share_of", "window_limit"]
 
 _EVEN_PART = 0.15
 """Part of a quota that all entry hosts share evenly; covers demand not yet seen."""
@@ -22,6 +22,15 @@
 _DEMAND_SECONDS = 3.0
 """Time constant of the demand's average; above the reports' period of a second."""
 
+_RELAXED_PART = 0.7
+"""Part of a quota's rate below which a customer is not held back.
+
+A jump of demand shows in the hosts' reports before it can fill the span.
+"""
+
+_RELAXED_FACTOR = 2.5
+"""Multiple of its share that a host lets pass while a customer is not held back."""
+
 _LOWEST_RATE = 1e-9
 _LEAST_AGE_SECONDS = 1.0
 """Less time says too little about the demand."""
@@ -58,6 +67,18 @@
     return (1 - _EVEN_PART) * min(1.0, demand / total_demand) + _EVEN_PART * even
 
 
+def is_relaxed(total_demand, quota):
+    """Return whether a customer asks for so little that hosts need not hold it back.
+
+    Parameters
+    ----------
+    total_demand : float
+        Units a second asked for at all hosts.
+    quota : peridothitch.ports.forwarding.Quota
+    """
+    return total_demand < _RELAXED_PART * quota.rate
+
+
 def window_limit(quota, promises):
     """Return the units that a customer may use at all hosts in one span.
 
@@ -99,10 +120,11 @@
         self._used = 0.0
         self._demand = 0.0
         self._demand_at = now
-        self._asked_since = None
+        self._began = now
         self.limit = limit
         self._pace = 0.0
         self._paced_at = now
+        self._assumed_part = _ASSUMED_USE
         self._assumed = set()
         for step in range(_ASSUMED_STEPS):
             at = now - window * (1 - (step + 1) / _ASSUMED_STEPS)
@@ -118,24 +140,25 @@
         part : float
             Part of its share that it can have used by the customer's demand.
         """
-        scale = min(1.0, part / _ASSUMED_USE)
-        uses = list(self._uses)
+        scale = min(1.0, part / self._assumed_part) if self._assumed_part else 1.0
+        self._assumed_part *= scale
+        uses, assumed = list(self._uses), self._assumed
         self._uses.clear()
         self._used = 0.0
+        self._assumed = set()
         for use in uses:
-            if use in self._assumed:
+            if use in assumed:
                 use = _Use(use.at, use.units * scale)
+                self._assumed.add(use)
             self._add(use)
         if self._assumed:
-            self._pace = max(self._pace, (1 - scale) * _BURST_PART * self.limit)
-        self._assumed.clear()
+            free = 1 - self._assumed_part
+            self._pace = max(self._pace, free * _BURST_PART * self.limit)
 
     def demand(self, now):
         """Return the units a second asked for, averaged."""
-        if self._asked_since is None:
-            return 0.0
         # An average over less time than its constant would be too low.
-        age = max(_LEAST_AGE_SECONDS, now - self._asked_since)
+        age = max(_LEAST_AGE_SECONDS, now - self._began)
         return self._faded_demand(now) / (1 - math.exp(-age / _DEMAND_SECONDS))
 
     def _faded_demand(self, now):
@@ -147,14 +170,25 @@
         self._forget(now)
         return self._used
 
-    def ask(self, units, now):
-        """Let a request pass if it fits; returns whether it did."""
+    def ask(self, units, now, is_relaxed=False):
+        """Let a request pass if it fits; returns whether it did.
+
+        Parameters
+        ----------
+        units : float
+        now : float
+        is_relaxed : bool
+            Whether all hosts together are asked for far less than the quota. A share
+            smaller than a request then refuses nothing.
+        """
         self._forget(now)
-        if self._asked_since is None:
-            self._asked_since = now
         self._demand = self._faded_demand(now) + units / _DEMAND_SECONDS
         self._demand_at = now
         self._refill(now)
+        if is_relaxed and self._used < _RELAXED_FACTOR * self.limit:
+            self._pace = max(0.0, self._pace - units)
+            self._add(_Use(now, units))
+            return True
         # A request that fits in part passes with that part's probability.
         part = units * self._random.random()
         if part > self._pace or self._used + part > self.limit:
--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import http.client
 import io
@@ -95,6 +96,9 @@
 
     def close(self):
         """Stop at once, as a crash does."""
+        # A thread that waits in accept would keep a socket open that is only closed.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         with self._lock:
             sockets, self._open = self._open, set()
