--- a/features/quota_fleet.py
+++ b/features/quota_fleet.py
@@ -13,6 +13,7 @@
 STEP_SECONDS = 0.05
 MEAN_TOKENS = 5000.0
 SPAN_SECONDS = 8.0
+SETTLED_SECONDS = 3.0
 
 PROMISES = sites.Promises(
     grace=datetime.timedelta(seconds=8),
@@ -124,10 +125,12 @@
     def _ask(self, host):
         tokens = min(20_000.0, self._random.expovariate(1 / MEAN_TOKENS))
         self.asked += 1
-        is_relaxed = self._now - self._began > 3.0 and token_quota.is_relaxed(
-            self._total, QUOTA
-        )
-        if host.meter.ask(tokens, self._now, is_relaxed):
+        limit = 0.0
+        if self._now - self._began > SETTLED_SECONDS:
+            limit = token_quota.relaxed_limit(
+                self._total, QUOTA, self._whole, host.share, self._count
+            )
+        if host.meter.ask(tokens, self._now, limit):
             self.passed.append((self._now, tokens))
         else:
             self.refused += 1
--- a/src/peridothitch/gateway/forwarding/duty_keeper.py
+++ b/src/peridothitch/gateway/forwarding/duty_keeper.py
@@ -58,18 +58,29 @@
         return lease.read_holder(item.value) if item is not None else ""
 
     def run(self, stop):
-        """Keep the lease and do the duties until the event `stop` is set."""
+        """Keep the lease until the event `stop` is set."""
         while not self._clock.wait(stop, _PERIOD):
-            self.step()
+            self.keep()
 
-    def step(self):
-        """Renew or try to take the lease, then do what is due."""
+    def run_duties(self, stop):
+        """Do the duties until the event `stop` is set.
+
+        Calls that wait for a slow platform must not hold up the lease's renewal.
+        """
+        while not self._clock.wait(stop, _PERIOD):
+            self.do_duties()
+
+    def keep(self):
+        """Renew or try to take the lease."""
         try:
             self._keep_lease()
         except errors.StoreError as error:
             self._metrics.count("lease_failures")
             _log.debug("lease: {}", error.detail)
         self._note_change()
+
+    def do_duties(self):
+        """Do what is due if the lease is held."""
         for duty in self._duties:
             try:
                 duty.step(self._lease.permit())
--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -273,7 +273,13 @@
             runner.start(found.run)
         self._server.start()
         self._fleet.start(runner)
-        for run in (self._sync.run, self._reports.run, self._keeper.run, self._tidy):
+        for run in (
+            self._sync.run,
+            self._reports.run,
+            self._keeper.run,
+            self._keeper.run_duties,
+            self._tidy,
+        ):
             runner.start(run)
         for server in self._status_servers:
             server.start()
--- a/src/peridothitch/gateway/forwarding/quotas.py
+++ b/src/peridothitch/gateway/forwarding/quotas.py
@@ -103,7 +103,7 @@
         now = self._clock.monotonic().total_seconds()
         with self._lock:
             meter = self._meter(customer, now)
-            if meter.ask(units, now, self._is_relaxed(customer)):
+            if meter.ask(units, now, self._relaxed_limit(customer)):
                 return units
             wait = datetime.timedelta(seconds=meter.wait_seconds(units, now))
         self._metrics.count("quota_refusals", customer=customer.name)
@@ -115,11 +115,16 @@
             retry_after=min(wait, _LONGEST_RETRY_AFTER),
         )
 
-    def _is_relaxed(self, customer):
+    def _relaxed_limit(self, customer):
         if self._total_by_name is None:
-            return False
-        total = self._total_by_name.get(customer.name, 0.0)
-        return token_quota.is_relaxed(total, customer.quota)
+            return 0.0
+        return token_quota.relaxed_limit(
+            self._total_by_name.get(customer.name, 0.0),
+            customer.quota,
+            self._whole_by_name[customer.name],
+            self._share(customer.name),
+            self._host_count(),
+        )
 
     def give_back(self, customer, units):
         """Return the units of a request that did not run."""
--- a/src/peridothitch/policy/token_quota.py
+++ b/src/peridothitch/policy/token_quota.py
@@ -11,7 +11,7 @@
 import dataclasses
 import math
 
-__all__ = ["CustomerMeter", "is_relaxed", "share_of", "window_limit"]
+__all__ = ["CustomerMeter", "relaxed_limit", "share_of", "window_limit"]
 
 _EVEN_PART = 0.15
 """Part of a quota that all entry hosts share evenly; covers demand not yet seen."""
@@ -22,7 +22,7 @@
 _DEMAND_SECONDS = 3.0
 """Time constant of the demand's average; above the reports' period of a second."""
 
-_RELAXED_PART = 0.7
+_RELAXED_PART = 0.85
 """Part of a quota's rate below which a customer is not held back.
 
 A jump of demand shows in the hosts' reports before it can fill the span.
@@ -67,16 +67,30 @@
     return (1 - _EVEN_PART) * min(1.0, demand / total_demand) + _EVEN_PART * even
 
 
-def is_relaxed(total_demand, quota):
-    """Return whether a customer asks for so little that hosts need not hold it back.
+def relaxed_limit(total_demand, quota, whole, share, host_count):
+    """Return what a host may let pass in a span while the quota is far away.
+
+    A share that is smaller than a request then refuses nothing.
 
     Parameters
     ----------
     total_demand : float
         Units a second asked for at all hosts.
     quota : peridothitch.ports.forwarding.Quota
+    whole : float
+        Units that the customer may use at all hosts in one span.
+    share : float
+        Of this host.
+    host_count : int
+
+    Returns
+    -------
+    float
+        0 once the customer asks for most of its quota.
     """
-    return total_demand < _RELAXED_PART * quota.rate
+    if total_demand >= _RELAXED_PART * quota.rate:
+        return 0.0
+    return _RELAXED_FACTOR * max(share, 1.0 / max(1, host_count)) * whole
 
 
 def window_limit(quota, promises):
@@ -170,22 +184,22 @@
         self._forget(now)
         return self._used
 
-    def ask(self, units, now, is_relaxed=False):
+    def ask(self, units, now, relaxed_limit=0.0):
         """Let a request pass if it fits; returns whether it did.
 
         Parameters
         ----------
         units : float
         now : float
-        is_relaxed : bool
-            Whether all hosts together are asked for far less than the quota. A share
-            smaller than a request then refuses nothing.
+        relaxed_limit : float
+            Units that this host may let pass in a span whatever its share is; see
+            `relaxed_limit`.
         """
         self._forget(now)
         self._demand = self._faded_demand(now) + units / _DEMAND_SECONDS
         self._demand_at = now
         self._refill(now)
-        if is_relaxed and self._used < _RELAXED_FACTOR * self.limit:
+        if self._used < relaxed_limit:
             self._pace = max(0.0, self._pace - units)
             self._add(_Use(now, units))
             return True
