--- a/features/forwarding_bench.py
+++ b/features/forwarding_bench.py
@@ -22,10 +22,8 @@
 
 PROMISES = sites.Promises(
     grace=datetime.timedelta(seconds=0.3),
-    contact_time=datetime.timedelta(seconds=4),
     retry_share=0.2,
     retry_allowance=54.0,
-    retry_window=datetime.timedelta(seconds=10),
     quota_window=datetime.timedelta(seconds=8),
     quota_excess_share=0.1,
     quota_excess=0.0,
@@ -33,8 +31,6 @@
     orders_are_fenced=True,
     usage_window=datetime.timedelta(seconds=5),
     usage_delay=datetime.timedelta(seconds=10),
-    exposed_share=0.1,
-    exposed_count=50,
 )
 
 ROUTES = (
@@ -169,6 +165,11 @@
         self._stack.callback(server.close)
         return server
 
+    @property
+    def store_port(self):
+        """Port of the platform's store."""
+        return self._store_server.port
+
     def add_replica(self, replica_id, service, **options):
         """Start a replica and let it register."""
         found = replica.Replica(replica_id, **options)
--- a/features/forwarding_path.feature
+++ b/features/forwarding_path.feature
@@ -91,3 +91,14 @@
     When a caller posts to "/charge/1" there
     Then the answer is 503 with a time to come back
     And that host is not ready
+
+  Scenario Outline: Settings are read again and cut nothing
+    Given an entry host as a process of its own
+    When its settings file gets <content> and <signal>
+    Then its log says "<message>" and it still answers
+
+    Examples:
+      | content        | signal        | message                                 |
+      | another bound  | it is told so | settings reloaded                       |
+      | another bound  | nobody says so | settings reloaded                      |
+      | a broken line  | it is told so | settings rejected; the former ones stay |
--- a/features/quota_fleet.py
+++ b/features/quota_fleet.py
@@ -17,10 +17,8 @@
 
 PROMISES = sites.Promises(
     grace=datetime.timedelta(seconds=8),
-    contact_time=datetime.timedelta(seconds=4),
     retry_share=0.2,
     retry_allowance=54.0,
-    retry_window=datetime.timedelta(seconds=10),
     quota_window=datetime.timedelta(seconds=SPAN_SECONDS),
     quota_excess_share=0.1,
     quota_excess=72_000.0,
@@ -28,8 +26,6 @@
     orders_are_fenced=True,
     usage_window=datetime.timedelta(seconds=5),
     usage_delay=datetime.timedelta(seconds=10),
-    exposed_share=0.1,
-    exposed_count=50,
 )
 
 PERMITTED = (QUOTA.rate * SPAN_SECONDS + QUOTA.burst) * 1.1 + 72_000.0
--- a/src/peridothitch/cli/forward.py
+++ b/src/peridothitch/cli/forward.py
@@ -1,10 +1,15 @@
 """``peridothitch forward``: an entry host on the users' platform."""
 
+import datetime
 import os
+import pathlib
+import signal
 import sys
 
 import click
+import logbook
 
+from peridothitch import errors
 from peridothitch.adapters import boot_clock, logs
 from peridothitch.cli import processes, settings
 from peridothitch.gateway.forwarding import entry
@@ -13,6 +18,11 @@
 
 __all__ = ["forward"]
 
+_FILE_CHECK_PERIOD = datetime.timedelta(seconds=1)
+"""Between two looks at the settings file, which may change without a signal."""
+
+_log = logbook.Logger("entry-host")
+
 
 @click.command(cls=settings.SettingsCommand)
 @click.option(
@@ -39,9 +49,11 @@
 def forward(path, metrics_port, log_format):
     """Forward requests unchanged as one entry host until SIGTERM.
 
-    SIGHUP reads the settings file again.
+    SIGHUP, or a change of the settings file, reads it again; it cuts nothing.
     """
     processes.block_stop_signals()
+    # Taken first, so that a change while the settings are read is noticed.
+    read_at = _modification_time(path)
     site = platform_settings.read(path)
     stream = logs.BoundedStream(sys.stdout)
     logs.install(log_format, stream)
@@ -61,9 +73,32 @@
         f"{host}:{metrics_port}" if metrics_port else "",
     )
     forwarding_host.start()
-    while processes.wait_for_signal():
-        forwarding_host.reload(platform_settings.read(path))
+    _reload_until_stopped(forwarding_host, path, read_at)
     forwarding_host.stop()
     stream.close()
     # Threads that wait for a peer's answer would keep the process for a while.
     os._exit(0)
+
+
+def _reload_until_stopped(forwarding_host, path, changed_at):
+    """Read the settings again after SIGHUP and after a change of the file."""
+    while True:
+        found = processes.wait_for_signal(_FILE_CHECK_PERIOD)
+        if found not in (None, signal.SIGHUP):
+            return
+        newest = _modification_time(path)
+        if found is None and newest == changed_at:
+            continue
+        changed_at = newest
+        try:
+            forwarding_host.reload(platform_settings.read(path))
+        except errors.SettingsError as error:
+            _log.error("settings rejected; the former ones stay", reason=error.detail)
+
+
+def _modification_time(path):
+    try:
+        return pathlib.Path(path).stat().st_mtime_ns
+    except OSError as error:
+        _log.error("settings file can't be looked at", reason=str(error))
+        return None
--- a/src/peridothitch/cli/platform_trial.py
+++ b/src/peridothitch/cli/platform_trial.py
@@ -38,10 +38,8 @@
 }
 _PROMISES = sites.Promises(
     grace=3 * _SECOND,
-    contact_time=4 * _SECOND,
     retry_share=0.2,
     retry_allowance=50.0,
-    retry_window=10 * _SECOND,
     quota_window=8 * _SECOND,
     quota_excess_share=0.1,
     quota_excess=0.0,
@@ -49,8 +47,6 @@
     orders_are_fenced=True,
     usage_window=5 * _SECOND,
     usage_delay=10 * _SECOND,
-    exposed_share=0.1,
-    exposed_count=50,
 )
 
 
--- a/src/peridothitch/cli/processes.py
+++ b/src/peridothitch/cli/processes.py
@@ -29,9 +29,20 @@
     signal.sigwait(_STOP_SIGNALS)
 
 
-def wait_for_signal():
-    """Wait for a signal; returns whether it asks to reload instead of to stop."""
-    return signal.sigwait(_SIGNALS) == signal.SIGHUP
+def wait_for_signal(timeout):
+    """Wait for a signal.
+
+    Parameters
+    ----------
+    timeout : datetime.timedelta
+
+    Returns
+    -------
+    signal.Signals or None
+        SIGHUP, SIGTERM or SIGINT; None if none came in time.
+    """
+    found = signal.sigtimedwait(_SIGNALS, timeout.total_seconds())
+    return signal.Signals(found.si_signo) if found is not None else None
 
 
 def serve_application(application, address, announce):
--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -126,6 +126,9 @@
         self._quotas = quotas.QuotaBook(
             site.promises, self._count_hosts, clock, self.metrics
         )
+        self._budgets = retry_budgets.RetryBudgets(
+            site.promises, self._count_hosts, self.metrics
+        )
         self._busy = busy_meter.BusyMeter(clock)
         self._lease = lease.FencedLease(
             service,
@@ -198,9 +201,7 @@
             book=self._book,
             transport=self._transport,
             dialect=self._platform.dialect,
-            budgets=retry_budgets.RetryBudgets(
-                self._site.promises, self._count_hosts, self.metrics
-            ),
+            budgets=self._budgets,
             guard=guard,
             usage=self._note_usage,
             allowed_versions=self._allowed_versions,
@@ -325,8 +326,13 @@
         return now - began >= _LEAST_DRAIN and quiet and not self._front.active
 
     def reload(self, site):
-        """Take new settings; requests in progress go on."""
+        """Take new settings; requests in progress go on.
+
+        Addresses and names stay as they were at the start.
+        """
         self._site = site
+        self._quotas.promises = site.promises
+        self._budgets.promises = site.promises
         _log.info("settings reloaded", host_id=site.host_id)
 
     def _tidy(self, stop):
--- a/src/peridothitch/gateway/forwarding/quotas.py
+++ b/src/peridothitch/gateway/forwarding/quotas.py
@@ -27,10 +27,15 @@
         Returns the number of entry hosts believed live.
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
+
+    Attributes
+    ----------
+    promises : peridothitch.ports.site.Promises
+        May be replaced at any time.
     """
 
     def __init__(self, promises, host_count, clock, metrics):
-        self._promises = promises
+        self.promises = promises
         self._host_count = host_count
         self._clock = clock
         self._metrics = metrics
@@ -165,13 +170,13 @@
             if view.age_seconds >= _SETTLED_SECONDS:
                 self._total_by_name = dict(view.demand_by_customer)
             # A holder that has just started itself knows too little of the demand.
-            window = self._promises.quota_window.total_seconds()
+            window = self.promises.quota_window.total_seconds()
             if view.age_seconds >= window and not self._is_corrected:
                 self._is_corrected = True
                 self._correct_assumed(view.demand_by_customer)
 
     def _correct_assumed(self, demand_by_customer):
-        window = self._promises.quota_window.total_seconds()
+        window = self.promises.quota_window.total_seconds()
         host_count = self._host_count()
         for name, meter in self._meter_by_name.items():
             used = demand_by_customer.get(name, 0.0) * window / host_count
@@ -188,12 +193,12 @@
         return share
 
     def _meter(self, customer, now):
-        whole = token_quota.window_limit(customer.quota, self._promises)
+        whole = token_quota.window_limit(customer.quota, self.promises)
         self._whole_by_name[customer.name] = whole
         limit = self._share(customer.name) * whole
         meter = self._meter_by_name.get(customer.name)
         if meter is None:
-            window = self._promises.quota_window.total_seconds()
+            window = self.promises.quota_window.total_seconds()
             meter = token_quota.CustomerMeter(window, limit, now, self._random)
             self._meter_by_name[customer.name] = meter
             self._relieve(customer.name, meter)
--- a/src/peridothitch/gateway/forwarding/retry_budgets.py
+++ b/src/peridothitch/gateway/forwarding/retry_budgets.py
@@ -20,10 +20,15 @@
     host_count : callable
         Returns the number of entry hosts believed live.
     metrics : peridothitch.adapters.metrics.Metrics
+
+    Attributes
+    ----------
+    promises : peridothitch.ports.site.Promises
+        May be replaced at any time.
     """
 
     def __init__(self, promises, host_count, metrics):
-        self._promises = promises
+        self.promises = promises
         self._host_count = host_count
         self._metrics = metrics
         self._lock = threading.Lock()
@@ -50,11 +55,11 @@
         return False
 
     def _budget(self, service):
-        allowance = _PLANNED_PART * self._promises.retry_allowance
+        allowance = _PLANNED_PART * self.promises.retry_allowance
         capacity = allowance / self._host_count()
         budget = self._budget_by_service.get(service)
         if budget is None:
-            ratio = _PLANNED_PART * self._promises.retry_share
+            ratio = _PLANNED_PART * self.promises.retry_share
             budget = retries.RetryBudget(ratio=ratio, balance=capacity)
         balance = min(budget.balance, capacity)
         return dataclasses.replace(budget, capacity=capacity, balance=balance)
--- a/src/peridothitch/platform/settings.py
+++ b/src/peridothitch/platform/settings.py
@@ -24,11 +24,9 @@
 
 class _Bounds(msgspec.Struct, frozen=True):
     grace_s: float = 8.0
-    contact_ms: float = 4000.0
     # Share and count of repeats, which the rules allow together in each window.
     retry_budget_ratio: float = 0.2
     retry_min: float = 50.0
-    retry_window_s: float = 10.0
     quota_window_s: float = 8.0
     quota_overage: float = 0.1
     quota_tolerance: float = 0.0
@@ -36,8 +34,6 @@
     fencing_enabled: bool = False
     report_window_s: float = 5.0
     usage_late_s: float = 10.0
-    canary_share: float = 0.1
-    canary_tolerance: int = 50
 
 
 class _Address(msgspec.Struct, frozen=True):
@@ -106,10 +102,8 @@
 def _to_promises(bounds):
     return site.Promises(
         grace=bounds.grace_s * _SECOND,
-        contact_time=bounds.contact_ms * _MILLISECOND,
         retry_share=bounds.retry_budget_ratio,
         retry_allowance=bounds.retry_min,
-        retry_window=bounds.retry_window_s * _SECOND,
         quota_window=bounds.quota_window_s * _SECOND,
         quota_excess_share=bounds.quota_overage,
         quota_excess=bounds.quota_tolerance,
@@ -117,6 +111,4 @@
         orders_are_fenced=bounds.fencing_enabled,
         usage_window=bounds.report_window_s * _SECOND,
         usage_delay=bounds.usage_late_s * _SECOND,
-        exposed_share=bounds.canary_share,
-        exposed_count=bounds.canary_tolerance,
     )
--- a/src/peridothitch/ports/site.py
+++ b/src/peridothitch/ports/site.py
@@ -14,13 +14,10 @@
     ----------
     grace : datetime.timedelta
         From the stop signal until the process is killed.
-    contact_time : datetime.timedelta
-        Time after a disturbance in which a host is excused.
     retry_share : float
         Repeats allowed for each request to a service.
     retry_allowance : float
-        Repeats of a service allowed besides, in each window over all entry hosts.
-    retry_window : datetime.timedelta
+        Repeats of a service allowed besides, in some seconds over all entry hosts.
     quota_window : datetime.timedelta
         Span in which use is held against a quota.
     quota_excess_share : float
@@ -34,17 +31,11 @@
     usage_window : datetime.timedelta
     usage_delay : datetime.timedelta
         From a usage window's end until its report is due.
-    exposed_share : float
-        Largest share of requests for a version that is not proved.
-    exposed_count : int
-        Requests for such a version allowed besides.
     """
 
     grace: datetime.timedelta
-    contact_time: datetime.timedelta
     retry_share: float
     retry_allowance: float
-    retry_window: datetime.timedelta
     quota_window: datetime.timedelta
     quota_excess_share: float
     quota_excess: float
@@ -52,8 +43,6 @@
     orders_are_fenced: bool
     usage_window: datetime.timedelta
     usage_delay: datetime.timedelta
-    exposed_share: float
-    exposed_count: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
