--- a/src/peridothitch/adapters/raw_transport.py
+++ b/src/peridothitch/adapters/raw_transport.py
@@ -160,9 +160,7 @@
     def open(self, host, call, on_cancel):
         """Send `call` on an idle or a new connection."""
         key = _key(host)
-        connection = None
-        if not call.needs_fresh_connection:
-            connection = self._pool.take(key, self._clock.monotonic())
+        connection = self._pool.take(key, self._clock.monotonic())
         if connection is None:
             connection = self._connect(host, call)
         answer = _Answer(self._pool, key, connection, self._clock)
--- a/src/peridothitch/gateway/forwarding/host_book.py
+++ b/src/peridothitch/gateway/forwarding/host_book.py
@@ -143,17 +143,6 @@
         fading = 0.5 ** (age / _SLOWNESS_HALF_LIFE_SECONDS)
         return 1.0 + (entry.slowness - 1.0) * fading
 
-    def counts(self, service):
-        """Return the live and all known hosts of a service as two ints."""
-        with self._lock:
-            hosts = [
-                entry.host
-                for entry in self._entry_by_id.values()
-                if entry.host.service == service
-            ]
-        live = sum(host.state is upstream.HostState.LIVE for host in hosts)
-        return live, len(hosts)
-
     def start(self, host, need):
         """Note that a request is sent; returns the uncached tokens of its prompt."""
         now = self._now()
--- a/src/peridothitch/platform/client.py
+++ b/src/peridothitch/platform/client.py
@@ -6,6 +6,7 @@
 import threading
 import urllib.parse
 
+import logbook
 import msgspec
 
 from peridothitch import errors, sockets
@@ -16,6 +17,9 @@
 """Above the round trip between two regions by a wide margin."""
 
 _MAX_IDLE_CONNECTIONS = 4
+"""More calls than that are rarely in progress at once."""
+
+_log = logbook.Logger(__name__)
 
 
 class CallError(Exception):
@@ -47,7 +51,8 @@
         self.status = status
         try:
             fields = msgspec.json.decode(body) if body else {}
-        except msgspec.DecodeError:
+        except msgspec.DecodeError as error:
+            _log.info("answer is not JSON", status=status, reason=str(error))
             fields = {}
         self.fields = fields if isinstance(fields, dict) else {}
 
--- a/src/peridothitch/platform/store.py
+++ b/src/peridothitch/platform/store.py
@@ -9,6 +9,8 @@
 import binascii
 import datetime
 
+import logbook
+
 from peridothitch import errors
 from peridothitch.platform import client
 from peridothitch.ports import store
@@ -27,6 +29,7 @@
 _ABSENT = 404
 _HISTORY_GONE = 410
 _CONDITION_FAILED = 412
+_log = logbook.Logger(__name__)
 
 
 class PlatformStore(store.Store):
@@ -215,6 +218,7 @@
 def _decode(text):
     try:
         return base64.standard_b64decode(text)
-    except (binascii.Error, ValueError):
+    except (binascii.Error, ValueError) as error:
         # Other writers may have put anything there; readers refuse empty values.
+        _log.info("value is not base64", reason=str(error))
         return b""
--- a/src/peridothitch/ports/raw.py
+++ b/src/peridothitch/ports/raw.py
@@ -113,8 +113,6 @@
     has_body : bool
     deadline : datetime.timedelta
         Monotonic time until which the answer is waited for.
-    needs_fresh_connection : bool
-        Whether a connection that the upstream may be about to close must not be used.
     """
 
     request_id: str
@@ -124,7 +122,6 @@
     body: bytes = b""
     has_body: bool = False
     deadline: datetime.timedelta
-    needs_fresh_connection: bool = False
 
 
 class RawAnswer(abc.ABC):
