--- a/src/peridothitch/gateway/forwarding/quotas.py
+++ b/src/peridothitch/gateway/forwarding/quotas.py
@@ -10,6 +10,9 @@
 __all__ = ["QuotaBook"]
 
 _LONGEST_RETRY_AFTER = datetime.timedelta(seconds=5)
+_FRESH_TIME = datetime.timedelta(seconds=1.6)
+"""Age of a view that is still one of now: a period of the reports and its timeout."""
+
 _SETTLED_SECONDS = 3.0
 """Time after which a holder's sum of the demand is one of all hosts."""
 
@@ -123,6 +126,9 @@
     def _relaxed_limit(self, customer):
         if self._total_by_name is None:
             return 0.0
+        if self._clock.monotonic() - self._granted_at > _FRESH_TIME:
+            # A host that is cut off doesn't see demand jump elsewhere.
+            return 0.0
         return token_quota.relaxed_limit(
             self._total_by_name.get(customer.name, 0.0),
             customer.quota,
--- a/src/peridothitch/policy/token_quota.py
+++ b/src/peridothitch/policy/token_quota.py
@@ -28,7 +28,7 @@
 A jump of demand shows in the hosts' reports before it can fill the span.
 """
 
-_RELAXED_FACTOR = 2.5
+_RELAXED_FACTOR = 1.5
 """Multiple of its share that a host lets pass while a customer is not held back."""
 
 _LOWEST_RATE = 1e-9
