One wiring of the platform, one choice a request, one name for one thing

Behaviour of forwarding stays as it was but for the random draw of a second choice. - An admitted request goes to the upstream that it was admitted by; the choice was made twice, and the first one thrown away. - The stand-ins' records and headers are written in one place, standins/platform_records, which the trial and the features share; cli names no header of the platform any more. - What a caller is told of a failed attempt was worked out in attempts and in delivery. - The bound on a request's arrival is a method of the connection instead of a field of the server that each connection overwrote. - placement.HostState had the name of upstream.HostState; its Rates were never given; the tokens a second stood twice. Properties and parameters that nothing used are gone. - serve, run and the stand-ins end at SIGHUP again: blocking it for forward had blocked it for all processes.

--- a/features/forwarding_bench.py
+++ b/features/forwarding_bench.py
@@ -4,15 +4,19 @@
 import dataclasses
 import datetime
 import http.client
-import json
 import socket
 import time
 
 from peridothitch.adapters import boot_clock, wsgi_server
+from peridothitch.cli import forward
 from peridothitch.gateway.forwarding import entry
-from peridothitch.platform import dialect, directory, duties, store
 from peridothitch.ports import site as sites
-from peridothitch.standins import metadata_store, platform_duties, replica
+from peridothitch.standins import (
+    metadata_store,
+    platform_duties,
+    platform_records,
+    replica,
+)
 
 HOST_NAME = "shop.example"
 KEY = "key-of-lanark"
@@ -92,39 +96,27 @@
     """Return the operators' record as bytes."""
     if tenants is None:
         tenants = [{"name": CUSTOMER, "api_keys": [KEY]}]
-    fields = {
-        "version": version,
-        "routes": [{"host": HOST_NAME, "priority": 1} | route for route in routes],
-        "services": [
+    return platform_records.configuration(
+        version,
+        [{"host": HOST_NAME, "priority": 1} | route for route in routes],
+        [
             {"name": "till", "max_connections": 100},
             {"name": "model", "max_connections": 300, "engine": {"capacity": 48}},
         ],
-        "limits": {
+        tenants,
+        limits={
             "max_header_bytes": 4096,
             "max_body_bytes": 65536,
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
-        "tenants": tenants,
-        "a_field_of_tomorrow": True,
-    }
-    return json.dumps(fields).encode()
+        a_field_of_tomorrow=True,
+    )
 
 
-def host_record(found, service, state="ready", **changes):
+def host_record(found, service, **changes):
     """Return a replica's record as bytes."""
-    fields = {
-        "service": service,
-        "address": found.address,
-        "zone": "lothian-a",
-        "version": "v1",
-        "capacity": 8,
-        "state": state,
-        "cold_remaining_ms": 0,
-        "sequence": 1,
-        "born": 1,
-    }
-    return json.dumps(fields | changes).encode()
+    return platform_records.host_record(found.address, service, "lothian-a", **changes)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -201,13 +193,8 @@
             orders_capacity=True,
             promises=PROMISES,
         )
-        self.store_by_host_id[host_id] = store.PlatformStore(site.store_address)
-        platform = entry.Platform(
-            self.store_by_host_id[host_id],
-            directory.PlatformDirectory(REGIONS),
-            dialect.HeaderDialect(),
-            duties.HttpDuties(site.duties_address, host_id),
-        )
+        platform = forward.make_platform(site)
+        self.store_by_host_id[host_id] = platform.store
         host = entry.ForwardingHost(site, platform, boot_clock.BootClock())
         host.start()
         self._stack.callback(host.stop)
@@ -235,18 +222,12 @@
         """Send one request; returns its id."""
         self.requests += 1
         request_id = headers.pop("request_id", f"request-{self.requests}")
-        fields = {
-            "Host": HOST_NAME,
-            "Peridothitch-Attempt-Id": request_id,
-            "X-Api-Key": KEY,
-            "Peridothitch-Deadline-Ms": "3000",
-        }
+        fields = platform_records.request_headers(HOST_NAME, KEY, request_id)
+        fields["Peridothitch-Deadline-Ms"] = "3000"
         if body or method == "POST":
             fields["Content-Length"] = str(len(body))
         if path.startswith(("/helper/", "/planner/")):
-            fields["Peridothitch-Model"] = "m"
-            fields["Peridothitch-Token-Usage"] = "100,20"
-            fields["Peridothitch-Prompt-Prefix"] = "a1:60,b2:40"
+            fields |= platform_records.stream_headers()
         fields |= {name.replace("_", "-"): value for name, value in headers.items()}
         lines = [f"{method} {path} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in fields.items() if value]
--- a/src/peridothitch/adapters/front_channel.py
+++ b/src/peridothitch/adapters/front_channel.py
@@ -121,8 +121,12 @@
         super().handle_close()
         return False
 
+    def _request_limit_seconds(self):
+        """Return how long the request that is arriving may take."""
+        return self.server.request_timeout_seconds
+
     def _check_request_timeout(self):
-        limit = self.server.request_timeout_seconds
+        limit = self._request_limit_seconds()
         if self.request is None or time.monotonic() - self._request_began < limit:
             return
         with self.requests_lock:
--- a/src/peridothitch/adapters/raw_front.py
+++ b/src/peridothitch/adapters/raw_front.py
@@ -105,10 +105,6 @@
     def has_begun(self):
         return self._task.wrote_header
 
-    @property
-    def is_gone(self):
-        return not self._channel.connected
-
     def on_gone(self, callback):
         self._channel.set_gone_callback(callback)
 
@@ -223,14 +219,11 @@
         idle = self.adj.clock.monotonic() - self._active_at
         return idle > self.server.idle_timeout
 
-    def _check_request_timeout(self):
+    def _request_limit_seconds(self):
         # The bound is on the head; a body may take as long as a pause between two.
         if self.request is not None and self.request.headers_finished:
-            limit = self.server.idle_timeout.total_seconds()
-        else:
-            limit = self.server.header_timeout.total_seconds()
-        self.server.request_timeout_seconds = limit
-        super()._check_request_timeout()
+            return self.server.idle_timeout.total_seconds()
+        return self.server.header_timeout.total_seconds()
 
 
 class _PoolDispatcher:
--- a/src/peridothitch/cli/forward.py
+++ b/src/peridothitch/cli/forward.py
@@ -16,7 +16,7 @@
 from peridothitch.platform import dialect, directory, duties, store
 from peridothitch.platform import settings as platform_settings
 
-__all__ = ["forward"]
+__all__ = ["forward", "make_platform"]
 
 _FILE_CHECK_PERIOD = datetime.timedelta(seconds=1)
 """Between two looks at the settings file, which may change without a signal."""
@@ -51,24 +51,16 @@
 
     SIGHUP, or a change of the settings file, reads it again; it cuts nothing.
     """
-    processes.block_stop_signals()
+    processes.block_reload_signals()
     # Taken first, so that a change while the settings are read is noticed.
     read_at = _modification_time(path)
     site = platform_settings.read(path)
     stream = logs.BoundedStream(sys.stdout)
     logs.install(log_format, stream)
     host = site.callers_address.rpartition(":")[0]
-    platform = entry.Platform(
-        store=store.PlatformStore(site.store_address),
-        directory=directory.PlatformDirectory(site.region_by_data_centre),
-        dialect=dialect.HeaderDialect(),
-        duties=duties.HttpDuties(site.duties_address, site.host_id)
-        if site.duties_address
-        else None,
-    )
     forwarding_host = entry.ForwardingHost(
         site,
-        platform,
+        make_platform(site),
         boot_clock.BootClock(),
         f"{host}:{metrics_port}" if metrics_port else "",
     )
@@ -80,6 +72,19 @@
     os._exit(0)
 
 
+def make_platform(site):
+    """Return the `entry.Platform` that a `peridothitch.ports.site.Site` names."""
+    client = None
+    if site.duties_address:
+        client = duties.HttpDuties(site.duties_address, site.host_id)
+    return entry.Platform(
+        store=store.PlatformStore(site.store_address),
+        directory=directory.PlatformDirectory(site.region_by_data_centre),
+        dialect=dialect.HeaderDialect(),
+        duties=client,
+    )
+
+
 def _reload_until_stopped(forwarding_host, path, changed_at):
     """Read the settings again after SIGHUP and after a change of the file."""
     while True:
--- a/src/peridothitch/cli/platform_trial.py
+++ b/src/peridothitch/cli/platform_trial.py
@@ -2,13 +2,17 @@
 
 import contextlib
 import datetime
-import json
 
 from peridothitch.adapters import boot_clock, wsgi_server
+from peridothitch.cli import forward
 from peridothitch.gateway.forwarding import entry
-from peridothitch.platform import dialect, directory, duties, store
 from peridothitch.ports import site as sites
-from peridothitch.standins import metadata_store, platform_duties, replica
+from peridothitch.standins import (
+    metadata_store,
+    platform_duties,
+    platform_records,
+    replica,
+)
 
 __all__ = ["KEY", "PlatformTrial"]
 
@@ -17,24 +21,17 @@
 _HOST_NAME = "trial.example"
 _SERVICE = "model"
 _SECOND = datetime.timedelta(seconds=1)
-_CONFIGURATION = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "trial",
-            "host": _HOST_NAME,
-            "prefix": "/ask/",
-            "route_type": "streaming",
-            "service": _SERVICE,
-            "max_attempts": 2,
-            "stream_resume": True,
-            "timeout_ms": 10000,
-            "target_latency_ms": 500,
-            "target_gap_ms": 300,
-        }
-    ],
-    "services": [{"name": _SERVICE, "max_connections": 100}],
-    "tenants": [{"name": "trial", "api_keys": [KEY]}],
+_ROUTE = {
+    "name": "trial",
+    "host": _HOST_NAME,
+    "prefix": "/ask/",
+    "route_type": "streaming",
+    "service": _SERVICE,
+    "max_attempts": 2,
+    "stream_resume": True,
+    "timeout_ms": 10000,
+    "target_latency_ms": 500,
+    "target_gap_ms": 300,
 }
 _PROMISES = sites.Promises(
     grace=3 * _SECOND,
@@ -67,13 +64,15 @@
         duties_address = self._serve(platform_duties.PlatformDutiesService())
         for name in ("i-1", "i-2"):
             self._add_replica(name)
-        self._store.put("op/config", json.dumps(_CONFIGURATION).encode())
-        regions = {_DATA_CENTRE: "lothian"}
+        configuration = platform_records.configuration(
+            1, [_ROUTE], [{"name": _SERVICE}], [{"name": "trial", "api_keys": [KEY]}]
+        )
+        self._store.put("op/config", configuration)
         site = sites.Site(
             host_id="edge-1",
             data_centre=_DATA_CENTRE,
             region="lothian",
-            region_by_data_centre=regions,
+            region_by_data_centre={_DATA_CENTRE: "lothian"},
             callers_address=listen,
             ready_address="127.0.0.1:0",
             peers_address="127.0.0.1:0",
@@ -84,13 +83,7 @@
             orders_capacity=False,
             promises=_PROMISES,
         )
-        platform = entry.Platform(
-            store.PlatformStore(store_address),
-            directory.PlatformDirectory(regions),
-            dialect.HeaderDialect(),
-            duties.HttpDuties(duties_address, site.host_id),
-        )
-        self._host = entry.ForwardingHost(site, platform, clock)
+        self._host = entry.ForwardingHost(site, forward.make_platform(site), clock)
 
     @property
     def port(self):
@@ -100,11 +93,10 @@
     @property
     def command(self):
         """Command that asks for a stream."""
-        return (
-            f"curl -N http://127.0.0.1:{self.port}/ask/anything -H 'Host: {_HOST_NAME}'"
-            f" -H 'X-Api-Key: {KEY}' -H 'Peridothitch-Attempt-Id: 1'"
-            " -H 'Peridothitch-Token-Usage: 100,50' -d '{}'"
-        )
+        headers = platform_records.request_headers(_HOST_NAME, KEY, "1")
+        headers |= platform_records.stream_headers()
+        options = " ".join(f"-H '{name}: {value}'" for name, value in headers.items())
+        return f"curl -N http://127.0.0.1:{self.port}/ask/anything {options} -d '{{}}'"
 
     def start(self):
         """Start the entry host."""
@@ -125,13 +117,5 @@
         found = replica.Replica(name, event_gap_seconds=0.2)
         found.start()
         self._stack.callback(found.close)
-        record = {
-            "service": _SERVICE,
-            "address": found.address,
-            "zone": _DATA_CENTRE,
-            "version": "v1",
-            "capacity": 8,
-            "state": "ready",
-            "sequence": 1,
-        }
-        self._store.put(f"servers/{name}", json.dumps(record).encode())
+        record = platform_records.host_record(found.address, _SERVICE, _DATA_CENTRE)
+        self._store.put(f"servers/{name}", record)
--- a/src/peridothitch/cli/processes.py
+++ b/src/peridothitch/cli/processes.py
@@ -5,6 +5,7 @@
 from peridothitch.adapters import wsgi_server
 
 __all__ = [
+    "block_reload_signals",
     "block_stop_signals",
     "serve_application",
     "wait_for_signal",
@@ -12,16 +13,21 @@
 ]
 
 _STOP_SIGNALS = {signal.SIGTERM, signal.SIGINT}
-_SIGNALS = _STOP_SIGNALS | {signal.SIGHUP}
+_RELOAD_SIGNALS = _STOP_SIGNALS | {signal.SIGHUP}
 
 
 def block_stop_signals():
-    """Keep SIGTERM, SIGINT and SIGHUP pending; call it before any thread is started.
+    """Keep SIGTERM and SIGINT pending; call it before any thread is started.
 
     A handler would run between two instructions of the main thread, where taking a
     lock can block for good.
     """
-    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
+    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
+
+
+def block_reload_signals():
+    """Keep SIGHUP pending besides; for processes that use `wait_for_signal`."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, _RELOAD_SIGNALS)
 
 
 def wait_for_stop():
@@ -41,7 +47,7 @@
     signal.Signals or None
         SIGHUP, SIGTERM or SIGINT; None if none came in time.
     """
-    found = signal.sigtimedwait(_SIGNALS, timeout.total_seconds())
+    found = signal.sigtimedwait(_RELOAD_SIGNALS, timeout.total_seconds())
     return signal.Signals(found.si_signo) if found is not None else None
 
 
--- a/src/peridothitch/gateway/forwarding/attempts.py
+++ b/src/peridothitch/gateway/forwarding/attempts.py
@@ -48,11 +48,14 @@
     ----------
     parts : peridothitch.gateway.forwarding.attempt.AttemptParts
     job : peridothitch.gateway.forwarding.job.Job
+    first : tuple of (peridothitch.ports.upstream.Host, placement.Estimate) or None
+        The choice that the request was admitted by.
     """
 
-    def __init__(self, parts, job):
+    def __init__(self, parts, job, first=None):
         self._parts = parts
         self._job = job
+        self._first = first
         self._lock = threading.Lock()
         self._cancel = None
         self._is_cancelled = False
@@ -64,11 +67,6 @@
         self._reported = False
         self._last_error = None
 
-    @property
-    def may_have_run(self):
-        """Whether an upstream may have begun to run the request."""
-        return self._runs > 0
-
     @property
     def sends(self):
         """How often the request was sent."""
@@ -172,8 +170,10 @@
             raise self._exhausted("no attempt is left")
         if self._arrivals and not parts.budgets.spend(job.service):
             raise self._exhausted("the repeats are used up")
-        versions = parts.allowed_versions(job)
-        chosen = parts.book.choose(job.service, job.need, self._tried, versions)
+        chosen, self._first = self._first, None
+        if chosen is None:
+            versions = parts.allowed_versions(job)
+            chosen = parts.book.choose(job.service, job.need, self._tried, versions)
         if chosen is None:
             raise self._exhausted("no upstream is left")
         return chosen
@@ -282,7 +282,7 @@
         if self._is_cancelled:
             raise self._error(errors.Code.CALLER_GONE, "the caller has left")
         if error.ran is not errors.Ran.NO and not job.may_repeat:
-            raise self._failed(error)
+            raise self.to_request_error(error)
         self._log_repeat(attempt, error.detail)
 
     def _is_worth_repeating(self, attempt):
@@ -318,7 +318,7 @@
     def _exhausted(self, detail):
         error = self._last_error
         if self._runs:
-            return self._failed(error)
+            return self.to_request_error(error)
         if error is not None:
             return self._error(
                 errors.Code.UPSTREAMS_BUSY,
@@ -327,7 +327,8 @@
             )
         return self._error(errors.Code.NO_UPSTREAM, detail, _NO_UPSTREAM_RETRY_AFTER)
 
-    def _failed(self, error):
+    def to_request_error(self, error):
+        """Return what the caller is told of an attempt that may have run."""
         code = error.code
         if self._parts.clock.monotonic() >= self._job.deadline:
             code = errors.Code.DEADLINE_EXCEEDED
--- a/src/peridothitch/gateway/forwarding/busy_meter.py
+++ b/src/peridothitch/gateway/forwarding/busy_meter.py
@@ -3,6 +3,8 @@
 import math
 import threading
 
+from peridothitch.policy import placement
+
 __all__ = ["BusyMeter"]
 
 _AVERAGE_SECONDS = 3.0
@@ -11,9 +13,6 @@
 _LEAST_AGE_SECONDS = 0.7
 """Less time says too little about the load."""
 
-_TOKENS_PER_SECOND = 100_000.0
-"""Prompt tokens that a host reads in a second when it does nothing else."""
-
 _SECONDS_PER_OUTPUT_TOKEN = 0.0006
 """Part of a host's step time that one more generated token takes up."""
 
@@ -32,11 +31,11 @@
         self._busy_by_service = {}
         self._began = None
 
-    def note(self, job, estimate):
+    def note(self, job):
         """Note a request that was admitted or refused for load."""
         output = job.marks.expected_tokens or job.marks.output_tokens
         work = (
-            job.need.prompt_tokens / _TOKENS_PER_SECOND
+            job.need.prompt_tokens / placement.TOKENS_PER_SECOND
             + output * _SECONDS_PER_OUTPUT_TOKEN
         )
         now = self._clock.monotonic().total_seconds()
--- a/src/peridothitch/gateway/forwarding/delivery.py
+++ b/src/peridothitch/gateway/forwarding/delivery.py
@@ -47,7 +47,7 @@
         except errors.UpstreamError as error:
             search.note_break(attempt, error)
             if conversation.has_begun or not _may_repeat(job, search, error):
-                raise _to_request_error(parts, job, error) from None
+                raise search.to_request_error(error) from None
             _log.info(
                 "tried elsewhere",
                 id=job.request_id,
@@ -75,16 +75,9 @@
     )
 
 
-def _to_request_error(parts, job, error):
-    code = error.code
-    if parts.clock.monotonic() >= job.deadline:
-        code = errors.Code.DEADLINE_EXCEEDED
-    return errors.RequestError(code, error.detail, errors.Ran.UNKNOWN)
-
-
-def _head(parts, job, answer):
+def _head(parts, answer):
     """Return status, reason and fields as the caller gets them."""
-    fields = parts.dialect.to_caller(answer.fields, job.request_id)
+    fields = parts.dialect.to_caller(answer.fields)
     if attempts.is_promise(answer.status):
         # The upstream did not say that the request has not run.
         reason = http.client.responses[_BAD_GATEWAY]
@@ -98,7 +91,7 @@
     received = parts.clock.monotonic()
     search.note_running(attempt.sent)
     body = bytearray()
-    head = _head(parts, job, answer)
+    head = _head(parts, answer)
     is_head = job.request.method == "HEAD"
     while data := answer.read_some():
         body += data
@@ -143,7 +136,7 @@
                     raise
                 self._search.note_break(attempt, error)
                 if not self._search.may_go_on(error):
-                    raise _to_request_error(self._parts, self._job, error) from None
+                    raise self._search.to_request_error(error) from None
                 attempt.end()
                 attempt = self._go_on(error)
 
@@ -180,7 +173,7 @@
             attempt.end()
 
     def _begin(self, attempt):
-        head = _head(self._parts, self._job, attempt.answer)
+        head = _head(self._parts, attempt.answer)
         self._status = head[0]
         self._conversation.begin(*head)
 
--- a/src/peridothitch/gateway/forwarding/front.py
+++ b/src/peridothitch/gateway/forwarding/front.py
@@ -145,9 +145,8 @@
         units = 0.0
         if job.customer is not None:
             units = self._quotas.take(job.customer, job.marks.tokens)
-        search = attempts.Attempts(parts, job)
         try:
-            self._admit(job)
+            search = attempts.Attempts(parts, job, self._admit(job))
             if job.may_repeat or job.route.streamed:
                 conversation.on_gone(search.cancel)
             status = delivery.deliver(parts, job, search, conversation)
@@ -166,6 +165,7 @@
         )
 
     def _admit(self, job):
+        """Refuse what can't be in time; returns the upstream to be tried first."""
         parts = self._parts
         now = parts.clock.monotonic()
         left = job.deadline - now
@@ -178,16 +178,16 @@
             job.service, job.need, versions=parts.allowed_versions(job)
         )
         if found is None:
-            return
+            return None
         _, estimate = found
-        self._loads.note(job, estimate)
+        self._loads.note(job)
         expected = datetime.timedelta(seconds=estimate.seconds)
         elapsed = now - job.request.arrived
         retry_after = admission.refuse_for(
             expected + elapsed, job.route.objective, left, job.priority
         )
         if retry_after is None:
-            return
+            return found
         raise errors.RequestError(
             errors.Code.OVERLOADED,
             f"expected to take {estimate.seconds:.2f} s",
--- a/src/peridothitch/gateway/forwarding/host_book.py
+++ b/src/peridothitch/gateway/forwarding/host_book.py
@@ -126,7 +126,7 @@
         if entry.load is not None and now - entry.load_at < _REPORT_LIFE_SECONDS:
             reported = entry.load.running + entry.load.waiting
             waiting = entry.load.waiting
-        return placement.HostState(
+        return placement.UpstreamState(
             host_id=entry.host.host_id,
             nearness=entry.nearness,
             slots=entry.host.slots,
--- a/src/peridothitch/platform/dialect.py
+++ b/src/peridothitch/platform/dialect.py
@@ -106,7 +106,7 @@
             kept.append(("Last-Event-Id", outbound.last_event_id))
         return tuple(kept)
 
-    def to_caller(self, fields, request_id):
+    def to_caller(self, fields):
         """Return an upstream's fields that concern the caller."""
         dropped = _connection_options(fields)
         return tuple(field for field in fields if field[0].lower() not in dropped)
--- a/src/peridothitch/policy/placement.py
+++ b/src/peridothitch/policy/placement.py
@@ -10,7 +10,14 @@
 
 import xxhash
 
-__all__ = ["Estimate", "HostState", "Need", "Rates", "choose", "estimate"]
+__all__ = [
+    "TOKENS_PER_SECOND",
+    "Estimate",
+    "Need",
+    "UpstreamState",
+    "choose",
+    "estimate",
+]
 
 _DISTANCE_SECONDS_BY_NEARNESS = {0: 0.0002, 1: 0.003, 2: 0.042}
 """Round trips: same data centre, same region, another region."""
@@ -21,8 +28,8 @@
 _AFFINITY_HIT = 0.3
 """Chance that a request's last shared part was lately read at its first-ranked host."""
 
-_TOKENS_PER_SECOND = 100_000.0
-"""Prompt tokens that an engine reads in a second, until measured otherwise."""
+TOKENS_PER_SECOND = 100_000.0
+"""Prompt tokens that an engine reads in a second when it does nothing else."""
 
 _QUEUED_TOKENS = 3000.0
 """Uncached prompt of a request that is known only as waiting."""
@@ -49,7 +56,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class HostState:
+class UpstreamState:
     """What this entry host knows of one upstream.
 
     Attributes
@@ -82,13 +89,6 @@
     slowness: float = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Rates:
-    """Speed of a service's upstreams."""
-
-    tokens_per_second: float = _TOKENS_PER_SECOND
-
-
 @dataclasses.dataclass(frozen=True)
 class Estimate:
     """Expected answer of one upstream.
@@ -107,7 +107,7 @@
     cost: float
 
 
-def estimate(need, state, rates=None):
+def estimate(need, state):
     """Return the `Estimate` of one upstream."""
     travel = _DISTANCE_SECONDS_BY_NEARNESS[state.nearness]
     if need.work_seconds:
@@ -116,10 +116,9 @@
         busy = 0.25 * min(1.0, others / max(1, state.slots))
         work = need.work_seconds * (rounds + busy)
     else:
-        rates = rates or Rates()
         uncached = max(0.0, need.prompt_tokens - state.cached_tokens)
         queued = max(state.backlog_tokens, state.reported_waiting * _QUEUED_TOKENS)
-        work = (queued + uncached) / rates.tokens_per_second + _STEP_SECONDS
+        work = (queued + uncached) / TOKENS_PER_SECOND + _STEP_SECONDS
         load = max(state.in_flight, state.reported) / max(1, state.slots)
         work += _STEP_SECONDS * load
     seconds = travel + work * state.slowness
@@ -127,27 +126,25 @@
     return Estimate(state.host_id, seconds, cost)
 
 
-def choose(need, states, random_source, rates=None):
+def choose(need, states, random_source):
     """Return the `Estimate` of the best upstream, or None without any.
 
     Parameters
     ----------
     need : Need
-    states : sequence of HostState
+    states : sequence of UpstreamState
     random_source : random.Random
         Breaks ties, so that entry hosts with the same view don't all choose alike.
-    rates : Rates or None
     """
     if not states:
         return None
     preferred = _preferred(need, states)
-    tokens_per_second = (rates or Rates()).tokens_per_second
     best, best_rank = None, None
     for state in states:
-        found = estimate(need, state, rates)
+        found = estimate(need, state)
         rank = found.cost * random_source.uniform(1.0, 1.08)
         if state.host_id == preferred:
-            rank -= _AFFINITY_HIT * need.prompt_parts[-1][1] / tokens_per_second
+            rank -= _AFFINITY_HIT * need.prompt_parts[-1][1] / TOKENS_PER_SECOND
         if best is None or rank < best_rank:
             best, best_rank = found, rank
     return best
--- a/src/peridothitch/ports/forwarding.py
+++ b/src/peridothitch/ports/forwarding.py
@@ -366,7 +366,7 @@
         """Return a caller's end-to-end headers with what `outbound` adds."""
 
     @abc.abstractmethod
-    def to_caller(self, fields, request_id):
+    def to_caller(self, fields):
         """Return an upstream's end-to-end headers as the caller gets them."""
 
     @abc.abstractmethod
--- a/src/peridothitch/ports/raw.py
+++ b/src/peridothitch/ports/raw.py
@@ -85,11 +85,6 @@
     def has_begun(self):
         """Whether the head was sent."""
 
-    @property
-    @abc.abstractmethod
-    def is_gone(self):
-        """Whether the caller has closed its connection."""
-
     @abc.abstractmethod
     def on_gone(self, callback):
         """Call `callback` once the caller has closed its connection.
