Carry out operators' orders for moves on the platform

Cause: requests kept away from an ordered version, and nobody moved, judged or told anything. The product's own judge and state machine of moves now run behind the platform's orders: a record beside the leases, evidence by gossip, a duty of the holder that writes record and state in one transaction.

Peers also asked a random host for news although a tree of relays was there and unused; they now ask the next one towards a relay in every second question.

At 8 requests a second and 20 seconds hardly any bad version is found; it stays within the permitted exposure.

--- a/features/move_fleet.py
+++ b/features/move_fleet.py
@@ -179,7 +179,8 @@
 class Fleet:
     """Entry hosts with real move keepers, a store with faults, and traffic."""
 
-    def __init__(self, seed, version, host_count=7, rate=8.0, loss=0.0):
+    def __init__(self, seed, version, host_count=7, rate=8.0, loss=0.0, window=WINDOW):
+        self.window = window
         self.random = random.Random(seed)
         self.clock = VirtualClock()
         inner = memory_store.MemoryStore(self.clock)
@@ -268,7 +269,7 @@
         if version == "v2":
             self.last_new = self.clock.passed
             self.exposed_unproved += not self._is_proved
-            elapsed = (self.clock.now() - START) / WINDOW
+            elapsed = (self.clock.now() - START) / self.window
             more, slowdown = self.version.behaviour(elapsed, route)
             failing += more
         first = slowdown * self.random.lognormvariate(-1.2, 0.4)
--- /dev/null
+++ b/features/ordered_move_fleet.py
@@ -0,0 +1,165 @@
+"""Entry hosts that carry out operators' orders for moves, on a virtual clock."""
+
+import json
+import types
+
+import move_fleet
+
+from peridothitch import errors
+from peridothitch.adapters import metrics
+from peridothitch.coordination import lease, mirror, ranking
+from peridothitch.gateway.forwarding import move_duty, move_records, version_moves
+from peridothitch.platform import directory as platform_directory
+from peridothitch.ports import directory, forwarding
+
+STATUS_KEY = f"status/rollout/{move_fleet.SERVICE}"
+EXPOSED_SHARE = 0.1
+EXPOSED_ALLOWANCE = 50.0
+SLOW = 1.2 * move_fleet.SECOND
+TIMEOUT = 4 * move_fleet.SECOND
+
+
+class _Guard:
+    def is_quarantined(self, digest):
+        return False
+
+
+class Keeper:
+    """The parts of one entry host that are about moves."""
+
+    def __init__(self, fleet, host_id, board):
+        self._fleet = fleet
+        members = move_fleet.Members(fleet, host_id)
+        self._leadership = ranking.RankedLeadership(members, "moves")
+        self._leases = mirror.Mirror(
+            lease.PREFIX, fleet.store, fleet.clock, metrics.Metrics()
+        )
+        catalogue = types.SimpleNamespace(
+            move_by_service=fleet.move_by_service, hosts=fleet.hosts, table=fleet.table
+        )
+        records = move_records.MoveRecords(
+            fleet.store, self._leases, platform_directory.PlatformDirectory({})
+        )
+        self._moves = version_moves.VersionMoves(
+            catalogue,
+            records,
+            members,
+            board,
+            _Guard(),
+            fleet.clock,
+            metrics.Metrics(),
+            fleet.random,
+        )
+        self._duty = move_duty.MoveDuty(
+            catalogue, records, self._moves, EXPOSED_SHARE, fleet.clock, host_id
+        )
+
+    def pick(self, job):
+        """Return the version of one request."""
+        service = job.route.service
+        versions = self._moves.pick(service, job.match.name)
+        if versions is None:
+            versions = {host.version for host in self._fleet.hosts().values()}
+        return self._fleet.random.choice(sorted(versions))
+
+    def observe(self, outcome):
+        """Take in one outcome."""
+        self._fleet.note_outcome(outcome)
+        if self._moves.is_watched(outcome.service):
+            self._moves.observe(outcome)
+
+    def tick(self):
+        """Do what the host's threads do in a tick."""
+        try:
+            self._leases.read()
+            self._moves.tick()
+            if self._leadership.is_held():
+                self._duty.step(types.SimpleNamespace(fencing_number=1))
+        except errors.StoreError:
+            return
+
+
+class OrderedMoveFleet(move_fleet.Fleet):
+    """A fleet whose operators order moves and read their states.
+
+    Attributes
+    ----------
+    told : list of (float, str)
+        States that operators were told, with the seconds of the change.
+    bad_at : list of datetime.timedelta
+        When bad answers of the new version came.
+    """
+
+    def __init__(self, seed, version, window, rate):
+        self.move_by_service = {}
+        self.told = []
+        self.bad_at = []
+        self.old_gone = False
+        routes = [
+            forwarding.Route(
+                name=name,
+                host="",
+                prefix="/",
+                shares=(forwarding.Share(move_fleet.SERVICE),),
+                repeat=forwarding.Repeat.NEVER,
+                streamed=False,
+                timeout=TIMEOUT,
+                objective=TIMEOUT,
+                gap_objective=None,
+                attempts=1,
+                priority=1,
+                anonymous=False,
+                caches_prompts=False,
+            )
+            for name in ("chat", "booking")
+        ]
+        self.table = types.SimpleNamespace(routes=routes)
+        super().__init__(seed, version, rate=rate, window=window)
+        self.order("v2")
+
+    def order(self, version):
+        """Write an order as operators do."""
+        self.ordered_at = self.clock.passed
+        known = self.move_by_service.get(move_fleet.SERVICE)
+        self.move_by_service[move_fleet.SERVICE] = directory.OrderedMove(
+            service=move_fleet.SERVICE,
+            version=version,
+            duration=self.window,
+            revision=known.revision + 1 if known else 1,
+        )
+
+    def hosts(self):
+        """Return the upstream hosts by id."""
+        return {
+            host.host_id: host
+            for host in move_fleet.upstream_hosts(move_fleet.SERVICE)
+            if not (self.old_gone and host.version == "v1")
+        }
+
+    def add_host(self):
+        """Start an entry host; returns its id."""
+        host_id = f"entry-{next(self._names)}"
+        board = move_fleet.Board(self.network, host_id)
+        self.network.copy_all(board)
+        self.network.board_by_host[host_id] = board
+        self.host_by_id[host_id] = Keeper(self, host_id, board)
+        return host_id
+
+    def note_outcome(self, outcome):
+        """Count a bad answer of the new version: failed, or slow as no good one is."""
+        is_slow = outcome.first_byte > SLOW or outcome.code is not None
+        if outcome.version == "v2" and is_slow:
+            self.bad_at.append(self.clock.passed)
+
+    def _check_verdicts(self):
+        item = self.store._inner.get(STATUS_KEY)
+        if item is None:
+            return
+        state = json.loads(item.value)["state"]
+        if not self.told or self.told[-1][1] != state:
+            self.told.append((self.clock.passed.total_seconds(), state))
+
+    @property
+    def state(self):
+        """The state that operators see."""
+        return self.told[-1][1] if self.told else ""
--- /dev/null
+++ b/features/ordered_moves.feature
@@ -0,0 +1,59 @@
+Feature: Operators' orders for moves are carried out in time
+
+  Scenario Outline: A good version gets all requests and operators are told so
+    Given operators order a move within <window> seconds at <rate> requests a second
+    When the time of the move is over
+    Then operators were told "in_progress" and then "completed" in time
+    And every request goes to the new version
+
+    Examples:
+      | window | rate |
+      | 20     | 8    |
+      | 30     | 40   |
+      | 60     | 20   |
+
+  Scenario Outline: A bad version is taken back
+    Given operators order a move within <window> seconds at <rate> requests a second to a version that <fault>
+    When the time of the move is over
+    Then operators were told "in_progress" and then "rolled_back" in time
+    And at most a tenth of all requests and 50 more went to it
+    And none went to it later than 5 seconds after its 50th bad answer
+    And every request goes to the old version
+
+    Examples:
+      | window | rate | fault                |
+      | 20     | 40   | fails at once        |
+      | 30     | 40   | fails later          |
+      | 30     | 40   | is slow at once      |
+      | 40     | 40   | is slow later        |
+      | 40     | 60   | fails on one route   |
+      | 40     | 60   | is slow on one route |
+
+  Scenario Outline: Trouble in the middle of a move
+    Given operators order a move within 40 seconds at 40 requests a second to a version that <fault>
+    When <trouble> after 12 seconds
+    And the time of the move is over
+    Then operators were told "in_progress" and then "<state>" in time
+    And at most a tenth of all requests and 50 more went to it
+
+    Examples:
+      | fault         | trouble                       | state       |
+      | is good       | the deciding host is killed   | completed   |
+      | fails later   | the deciding host is killed   | rolled_back |
+      | is good       | all hosts are killed at once  | completed   |
+      | fails later   | all hosts are killed at once  | rolled_back |
+      | is good       | the store is down for 6 seconds | completed |
+      | fails later   | the store is down for 6 seconds | rolled_back |
+
+  Scenario: An order that is written again is another move
+    Given operators order a move within 20 seconds at 40 requests a second to a version that fails at once
+    When the time of the move is over
+    And the version is mended and operators order it again
+    And the time of the move is over
+    Then operators were told "rolled_back" and then "in_progress" and then "completed"
+
+  Scenario: Nothing goes to the new version before a move has begun
+    Given operators order a move within 20 seconds at 40 requests a second
+    And the store is down
+    When 5 seconds pass
+    Then every request went to the old version
--- /dev/null
+++ b/features/steps/ordered_moves_steps.py
@@ -0,0 +1,142 @@
+"""Steps for moves that operators order."""
+
+import behave
+import move_fleet
+import ordered_move_fleet as fleets
+
+from peridothitch.standins import faulty_store
+
+SECOND = move_fleet.SECOND
+AFTER = 10 * SECOND
+ROLLBACK_TIME = 5 * SECOND
+BAD_ANSWERS = 50
+_DOWN = faulty_store.FaultRule(fault=faulty_store.Fault.DOWN)
+
+
+@behave.given(
+    "operators order a move within {window:d} seconds at {rate:d} requests a second"
+)
+def order_good(context, window, rate):
+    order(context, window, rate, "is good")
+
+
+@behave.given(
+    "operators order a move within {window:d} seconds at {rate:d} requests a second "
+    "to a version that {fault}"
+)
+def order(context, window, rate, fault):
+    version = move_fleet.VERSION_BY_FAULT.get(fault, move_fleet.Version())
+    context.fleet = fleets.OrderedMoveFleet(
+        context.seed, version, window * SECOND, float(rate)
+    )
+
+
+@behave.when("the time of the move is over")
+def run_to_end(context):
+    fleet = context.fleet
+    fleet.run(fleet.ordered_at + fleet.window - fleet.clock.passed)
+    context.state_at_end = fleet.state
+    if fleet.state == "completed":
+        fleet.old_gone = True
+    context.exposed = fleet.exposed["v2"]
+    context.requests = fleet.requests
+
+
+def _check_told(context, *states):
+    told = [state for _, state in context.fleet.told]
+    assert told == list(states), context.fleet.told
+
+
+@behave.then('operators were told "{first}" and then "{second}" in time')
+def check_told(context, first, second):
+    _check_told(context, first, second)
+    assert context.state_at_end == second, (context.state_at_end, context.fleet.told)
+
+
+@behave.then('operators were told "{first}" and then "{second}" and then "{third}"')
+def check_told_again(context, first, second, third):
+    _check_told(context, "in_progress", first, second, third)
+
+
+def _check_all_go_to(context, version):
+    fleet = context.fleet
+    fleet.run(2 * SECOND)
+    fleet.exposed.clear()
+    fleet.run(AFTER)
+    assert set(fleet.exposed) == {version}, fleet.exposed
+
+
+@behave.then("every request goes to the new version")
+def check_all_new(context):
+    _check_all_go_to(context, "v2")
+
+
+@behave.then("every request goes to the old version")
+def check_all_old(context):
+    _check_all_go_to(context, "v1")
+
+
+@behave.then("every request went to the old version")
+def check_none_new(context):
+    assert set(context.fleet.exposed) == {"v1"}, context.fleet.exposed
+
+
+@behave.then("at most a tenth of all requests and 50 more went to it")
+def check_exposed(context):
+    if context.fleet.state == "completed":
+        return
+    most = fleets.EXPOSED_SHARE * context.requests + fleets.EXPOSED_ALLOWANCE
+    assert context.exposed <= most, (context.exposed, context.requests)
+
+
+@behave.then("none went to it later than 5 seconds after its 50th bad answer")
+def check_rollback(context):
+    fleet = context.fleet
+    if len(fleet.bad_at) < BAD_ANSWERS:
+        return
+    late = fleet.last_new - fleet.bad_at[BAD_ANSWERS - 1]
+    assert late <= ROLLBACK_TIME, late
+
+
+@behave.when("the deciding host is killed after {seconds:d} seconds")
+def kill_decider(context, seconds):
+    fleet = context.fleet
+    fleet.run(seconds * SECOND)
+    fleet.remove_host(fleet.decider())
+    fleet.add_host()
+
+
+@behave.when("all hosts are killed at once after {seconds:d} seconds")
+def kill_all(context, seconds):
+    fleet = context.fleet
+    fleet.run(seconds * SECOND)
+    host_ids = list(fleet.host_by_id)
+    for host_id in host_ids:
+        fleet.remove_host(host_id)
+    for _ in host_ids:
+        fleet.add_host()
+
+
+@behave.when("the store is down for {length:d} seconds after {seconds:d} seconds")
+def stop_store(context, length, seconds):
+    fleet = context.fleet
+    fleet.run(seconds * SECOND)
+    fleet.store.inject(_DOWN)
+    fleet.run(length * SECOND)
+    fleet.store.clear()
+
+
+@behave.given("the store is down")
+def take_store_down(context):
+    context.fleet.store.inject(_DOWN)
+
+
+@behave.when("{seconds:d} seconds pass")
+def pass_time(context, seconds):
+    context.fleet.run(seconds * SECOND)
+
+
+@behave.when("the version is mended and operators order it again")
+def order_again(context):
+    context.fleet.version = move_fleet.Version()
+    context.fleet.order("v2")
--- a/src/peridothitch/gateway/forwarding/attempt.py
+++ b/src/peridothitch/gateway/forwarding/attempt.py
@@ -1,9 +1,9 @@
 """One sending of a request to one upstream."""
 
 import dataclasses
-import datetime
 
-from peridothitch.ports import forwarding
+from peridothitch import errors
+from peridothitch.ports import forwarding, outcomes
 
 __all__ = ["Attempt", "AttemptParts"]
 
@@ -21,8 +21,7 @@
     guard : peridothitch.gateway.quarantine.CrashGuard
     usage : callable
         Called with a `Job` and the monotonic time at which it began to run.
-    allowed_versions : callable
-        Returns the versions of a service that a request may run at, None for all.
+    moves : peridothitch.gateway.forwarding.version_moves.VersionMoves
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
     """
@@ -33,7 +32,7 @@
     budgets: object
     guard: object
     usage: object
-    allowed_versions: object
+    moves: object
     clock: object
     metrics: object
 
@@ -62,22 +61,62 @@
         self.sent = parts.clock.monotonic()
         self.answer = None
         self.marks = forwarding.AnswerMarks()
+        self._first_byte = None
+        self._event_count = 0
 
     def note_first(self):
         """Note that the answer, or a stream's first event, has arrived."""
         if self._has_begun:
             return
         self._has_begun = True
-        took = (self._parts.clock.monotonic() - self.sent).total_seconds()
+        self._first_byte = self._parts.clock.monotonic() - self.sent
         self._parts.book.note_first(
-            self.host, self._uncached, self.estimate.seconds, took
+            self.host,
+            self._uncached,
+            self.estimate.seconds,
+            self._first_byte.total_seconds(),
         )
         self._parts.metrics.observe(
-            "upstream_first_byte",
-            datetime.timedelta(seconds=took),
-            service=self.host.service,
+            "upstream_first_byte", self._first_byte, service=self.host.service
         )
 
+    def note_events(self, count):
+        """Count events of a stream."""
+        self._event_count += count
+
+    def complete(self):
+        """Note that the whole answer has arrived."""
+        self._report(None, errors.Ran.YES)
+
+    def fail(self, error):
+        """Note the `peridothitch.errors.UpstreamError` that ended the answer."""
+        self._report(error.code, error.ran)
+
+    def _report(self, code, ran):
+        """Tell those who compare versions what the attempt came to."""
+        host, job = self.host, self._job
+        if not self._parts.moves.is_watched(host.service):
+            return
+        outcome = outcomes.AttemptOutcome(
+            # Repeats of a request that crashes hosts have other ids.
+            request_id=job.digest,
+            service=host.service,
+            version=host.version,
+            route=job.route.name,
+            customer=job.customer_name,
+            host_id=host.host_id,
+            data_centre=host.data_centre,
+            ended=self._parts.moves.now(),
+            first_byte=self._first_byte,
+            duration=self._parts.clock.monotonic() - self.sent,
+            status=self.answer.status if self.answer is not None else 0,
+            code=code,
+            ran=ran,
+            token_count=self._event_count,
+            host_leaving=not self._parts.book.is_live(host),
+        )
+        self._parts.moves.observe(outcome)
+
     def end(self):
         """Drop what is left of the answer and the request's part in the load."""
         if self._ended:
--- a/src/peridothitch/gateway/forwarding/attempts.py
+++ b/src/peridothitch/gateway/forwarding/attempts.py
@@ -106,6 +106,7 @@
                 self._check(attempt)
             except errors.UpstreamError as error:
                 attempt.end()
+                self._report(attempt, error)
                 self._note_failure(attempt, error)
                 continue
             except BaseException:
@@ -113,10 +114,17 @@
                 raise
             if self._is_worth_repeating(attempt):
                 attempt.end()
-                self._log_repeat(attempt, f"status {attempt.answer.status}")
+                attempt.complete()
+                self.log_repeat(attempt, f"status {attempt.answer.status}")
                 continue
             return attempt
 
+    def _report(self, attempt, error):
+        # A refusal tells of an upstream's load, not of its version.
+        is_refusal = error.ran is errors.Ran.NO and attempt.answer is not None
+        if not is_refusal and not self._is_cancelled:
+            attempt.fail(error)
+
     def may_go_on(self, error):
         """Return whether a stream that broke off may go on elsewhere."""
         return (
@@ -133,6 +141,7 @@
         self._last_error = error
         if self._is_cancelled:
             return
+        attempt.fail(error)
         if error.code is errors.Code.UPSTREAM_SILENT:
             self._parts.book.note_break(host, "silent")
             return
@@ -172,7 +181,7 @@
             raise self._exhausted("the repeats are used up")
         chosen, self._first = self._first, None
         if chosen is None:
-            versions = parts.allowed_versions(job)
+            versions = parts.moves.proved(job.service)
             chosen = parts.book.choose(job.service, job.need, self._tried, versions)
         if chosen is None:
             raise self._exhausted("no upstream is left")
@@ -283,7 +292,7 @@
             raise self._error(errors.Code.CALLER_GONE, "the caller has left")
         if error.ran is not errors.Ran.NO and not job.may_repeat:
             raise self.to_request_error(error)
-        self._log_repeat(attempt, error.detail)
+        self.log_repeat(attempt, error.detail)
 
     def _is_worth_repeating(self, attempt):
         job = self._job
@@ -304,7 +313,8 @@
         )
         return True
 
-    def _log_repeat(self, attempt, reason):
+    def log_repeat(self, attempt, reason):
+        """Log that the request goes to another upstream, and count it."""
         self._parts.metrics.count("repeats", service=self._job.service)
         _log.info(
             "tried elsewhere",
--- a/src/peridothitch/gateway/forwarding/catalogue.py
+++ b/src/peridothitch/gateway/forwarding/catalogue.py
@@ -1,5 +1,6 @@
 """The rules, moves and upstream hosts that an entry host goes by."""
 
+import dataclasses
 import datetime
 import threading
 
@@ -130,7 +131,9 @@
                 _log.error("order for a move rejected", key=key, reason=error.detail)
                 continue
             if move is not None:
-                move_by_service[move.service] = move
+                move_by_service[move.service] = dataclasses.replace(
+                    move, revision=item.mod_revision
+                )
         return move_by_service
 
     def refresh_hosts(self):
--- a/src/peridothitch/gateway/forwarding/delivery.py
+++ b/src/peridothitch/gateway/forwarding/delivery.py
@@ -48,12 +48,7 @@
             search.note_break(attempt, error)
             if conversation.has_begun or not _may_repeat(job, search, error):
                 raise search.to_request_error(error) from None
-            _log.info(
-                "tried elsewhere",
-                id=job.request_id,
-                host_id=attempt.host.host_id,
-                reason=error.detail,
-            )
+            search.log_repeat(attempt, error.detail)
         finally:
             attempt.end()
 
@@ -106,6 +101,7 @@
         conversation.begin(*head, length)
     conversation.write(bytes(body))
     conversation.end()
+    attempt.complete()
     if not job.need.prompt_tokens:
         took = (received - attempt.sent).total_seconds()
         parts.book.note_work(job.service, took)
@@ -130,6 +126,7 @@
             try:
                 self._pass_events(attempt)
                 self._conversation.end()
+                attempt.complete()
                 return self._status
             except errors.UpstreamError as error:
                 if not self._conversation.has_begun:
@@ -137,7 +134,6 @@
                 self._search.note_break(attempt, error)
                 if not self._search.may_go_on(error):
                     raise self._search.to_request_error(error) from None
-                attempt.end()
                 attempt = self._go_on(error)
 
     def _go_on(self, error):
@@ -179,6 +175,7 @@
 
     def _pass(self, attempt, events):
         attempt.note_first()
+        attempt.note_events(len(events))
         if not self._conversation.has_begun:
             self._search.note_running(self._parts.clock.monotonic())
             self._begin(attempt)
--- /dev/null
+++ b/src/peridothitch/gateway/forwarding/duty_set.py
@@ -0,0 +1,90 @@
+"""The duties of the entry host that acts for all."""
+
+import dataclasses
+
+from peridothitch.gateway.forwarding import (
+    capacity_duty,
+    fleet_record,
+    move_duty,
+    usage_duty,
+)
+
+__all__ = ["DutyParts", "make_duties"]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DutyParts:
+    """What the duties need.
+
+    Attributes
+    ----------
+    site : peridothitch.ports.site.Site
+    store : peridothitch.ports.store.Store
+    client : peridothitch.ports.duties.PlatformDuties or None
+    fenced_lease : peridothitch.coordination.lease.FencedLease
+    leases : peridothitch.coordination.mirror.Mirror
+    reports : peridothitch.gateway.forwarding.fleet_reports.FleetReports
+    catalogue : peridothitch.gateway.forwarding.catalogue.Catalogue
+    move_records : peridothitch.gateway.forwarding.move_records.MoveRecords
+    version_moves : peridothitch.gateway.forwarding.version_moves.VersionMoves
+    shared_time : peridothitch.gateway.forwarding.peer_sync.SharedTime
+    clock : peridothitch.ports.clock.Clock
+    metrics : peridothitch.adapters.metrics.Metrics
+    """
+
+    site: object
+    store: object
+    client: object
+    fenced_lease: object
+    leases: object
+    reports: object
+    catalogue: object
+    move_records: object
+    version_moves: object
+    shared_time: object
+    clock: object
+    metrics: object
+
+
+def make_duties(parts):
+    """Return the duties that a site has, in the order in which they are done."""
+    site, client = parts.site, parts.client
+    duties = [
+        fleet_record.FleetRecordDuty(
+            parts.store, parts.leases, parts.reports, parts.catalogue, parts.clock
+        ),
+        move_duty.MoveDuty(
+            parts.catalogue,
+            parts.move_records,
+            parts.version_moves,
+            site.promises.exposed_share,
+            parts.shared_time,
+            site.host_id,
+        ),
+    ]
+    if client is not None and site.reports_usage:
+        duties.append(
+            usage_duty.UsageDuty(
+                client,
+                parts.store,
+                parts.fenced_lease,
+                parts.reports,
+                parts.shared_time,
+                site.promises,
+                parts.clock,
+                parts.metrics,
+            )
+        )
+    if client is not None and site.orders_capacity:
+        duties.append(
+            capacity_duty.CapacityDuty(
+                client,
+                parts.fenced_lease,
+                parts.reports,
+                parts.catalogue,
+                site,
+                parts.clock,
+                parts.metrics,
+            )
+        )
+    return duties
--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -13,17 +13,18 @@
 from peridothitch.gateway.forwarding import (
     attempt,
     busy_meter,
-    capacity_duty,
     catalogue,
     duty_keeper,
+    duty_set,
     fleet_record,
     fleet_reports,
     front,
     host_book,
+    move_records,
     peer_sync,
     quotas,
     retry_budgets,
-    usage_duty,
+    version_moves,
 )
 from peridothitch.policy import usage_windows
 
@@ -147,6 +148,10 @@
         self._reports.subscribe(self._quotas.take_view)
         self._leases = leases
         leases.subscribe(self._take_record)
+        self._guard = quarantine.CrashGuard(
+            self._fleet.facts, (), (), clock, self.metrics
+        )
+        self._move_records, self._moves = self._make_moves()
         self._keeper = duty_keeper.DutyKeeper(
             self._lease,
             site.promises.lease_time,
@@ -194,58 +199,50 @@
         )
 
     def _make_parts(self):
-        guard = quarantine.CrashGuard(
-            self._fleet.facts, (), (), self._clock, self.metrics
-        )
         return attempt.AttemptParts(
             book=self._book,
             transport=self._transport,
             dialect=self._platform.dialect,
             budgets=self._budgets,
-            guard=guard,
+            guard=self._guard,
             usage=self._note_usage,
-            allowed_versions=self._allowed_versions,
+            moves=self._moves,
             clock=self._clock,
             metrics=self.metrics,
         )
 
+    def _make_moves(self):
+        records = move_records.MoveRecords(
+            self._platform.store, self._leases, self._platform.directory
+        )
+        moves = version_moves.VersionMoves(
+            self.catalogue,
+            records,
+            self._fleet.peers,
+            self._fleet.facts,
+            self._guard,
+            self._time,
+            self.metrics,
+        )
+        return records, moves
+
     def _make_duties(self):
-        client = self._platform.duties
-        duties = [
-            fleet_record.FleetRecordDuty(
-                self._platform.store,
-                self._leases,
-                self._reports,
-                self.catalogue,
-                self._clock,
+        return duty_set.make_duties(
+            duty_set.DutyParts(
+                site=self._site,
+                store=self._platform.store,
+                client=self._platform.duties,
+                fenced_lease=self._lease,
+                leases=self._leases,
+                reports=self._reports,
+                catalogue=self.catalogue,
+                move_records=self._move_records,
+                version_moves=self._moves,
+                shared_time=self._time,
+                clock=self._clock,
+                metrics=self.metrics,
             )
-        ]
-        if client is not None and self._site.reports_usage:
-            duties.append(
-                usage_duty.UsageDuty(
-                    client,
-                    self._platform.store,
-                    self._lease,
-                    self._reports,
-                    self._time,
-                    self._site.promises,
-                    self._clock,
-                    self.metrics,
-                )
-            )
-        if client is not None and self._site.orders_capacity:
-            duties.append(
-                capacity_duty.CapacityDuty(
-                    client,
-                    self._lease,
-                    self._reports,
-                    self.catalogue,
-                    self._site,
-                    self._clock,
-                    self.metrics,
-                )
-            )
-        return duties
+        )
 
     @property
     def port(self):
@@ -279,6 +276,7 @@
             self._reports.run,
             self._keeper.run,
             self._keeper.run_duties,
+            self._moves.run,
             self._tidy,
         ):
             runner.start(run)
@@ -362,18 +360,6 @@
     def _find_holder(self):
         return self._keeper.find_holder()
 
-    def _allowed_versions(self, job):
-        """Return the versions that may run a request, None for all."""
-        move = self.catalogue.move_by_service.get(job.service)
-        if move is None:
-            return None
-        versions = {
-            host.version
-            for host in self.catalogue.hosts().values()
-            if host.service == job.service
-        }
-        return (versions - {move.version}) or None
-
     def _note_usage(self, job, moment):
         if job.customer is None:
             return
--- a/src/peridothitch/gateway/forwarding/front.py
+++ b/src/peridothitch/gateway/forwarding/front.py
@@ -174,9 +174,8 @@
                 errors.Code.DEADLINE_EXCEEDED, "it arrived too late"
             )
         self._check_drain(job, now)
-        found = parts.book.choose(
-            job.service, job.need, versions=parts.allowed_versions(job)
-        )
+        versions = parts.moves.pick(job.service, job.route.name)
+        found = parts.book.choose(job.service, job.need, versions=versions)
         if found is None:
             return None
         _, estimate = found
--- a/src/peridothitch/gateway/forwarding/host_book.py
+++ b/src/peridothitch/gateway/forwarding/host_book.py
@@ -143,6 +143,12 @@
         fading = 0.5 ** (age / _SLOWNESS_HALF_LIFE_SECONDS)
         return 1.0 + (entry.slowness - 1.0) * fading
 
+    def is_live(self, host):
+        """Return whether an upstream still takes requests."""
+        with self._lock:
+            entry = self._find(host)
+            return entry is not None and entry.host.state is upstream.HostState.LIVE
+
     def start(self, host, need):
         """Note that a request is sent; returns the uncached tokens of its prompt."""
         now = self._now()
--- a/src/peridothitch/gateway/forwarding/peer_sync.py
+++ b/src/peridothitch/gateway/forwarding/peer_sync.py
@@ -15,6 +15,7 @@
 from peridothitch import errors
 from peridothitch.coordination import mirror, relays
 from peridothitch.policy import true_time
+from peridothitch.ports import clock as clocks
 
 __all__ = ["PeerSync", "SharedTime"]
 
@@ -42,8 +43,8 @@
     now: float
 
 
-class SharedTime:
-    """True time that the entry hosts agree on.
+class SharedTime(clocks.Clock):
+    """Clock with the true time that the entry hosts agree on.
 
     Parameters
     ----------
@@ -60,6 +61,14 @@
         with self._lock:
             return self._time.at(self._clock.monotonic())
 
+    def monotonic(self):
+        """Return the given clock's monotonic time."""
+        return self._clock.monotonic()
+
+    def wait(self, event, timeout):
+        """Wait as the given clock does."""
+        return self._clock.wait(event, timeout)
+
     def note(self, witness, moment, steady):
         """Take in a peer's time; see `peridothitch.policy.true_time.TrueTime.note`."""
         with self._lock:
@@ -117,15 +126,10 @@
             self.ask()
 
     def ask(self):
-        """Ask one random peer; returns whether anything was new."""
-        others = [
-            host_id
-            for host_id in self._peers.members()
-            if host_id != self._peers.host_id
-        ]
-        if not others:
+        """Ask one peer; returns whether anything was new."""
+        host_id = self._choose()
+        if host_id is None:
             return False
-        host_id = self._random.choice(others)
         ask = _Ask(
             {prefix: found.version for prefix, found in self._mirror_by_prefix.items()}
         )
--- a/src/peridothitch/platform/settings.py
+++ b/src/peridothitch/platform/settings.py
@@ -34,6 +34,8 @@
     fencing_enabled: bool = False
     report_window_s: float = 5.0
     usage_late_s: float = 10.0
+    # Largest share of requests that a version on trial may get.
+    canary_share: float = 0.1
 
 
 class _Address(msgspec.Struct, frozen=True):
@@ -111,4 +113,5 @@
         orders_are_fenced=bounds.fencing_enabled,
         usage_window=bounds.report_window_s * _SECOND,
         usage_delay=bounds.usage_late_s * _SECOND,
+        exposed_share=bounds.canary_share,
     )
--- a/src/peridothitch/ports/directory.py
+++ b/src/peridothitch/ports/directory.py
@@ -27,11 +27,14 @@
         Version that requests move to.
     duration : datetime.timedelta
         Time that the move may take.
+    revision : int
+        Store revision of the order; one that is written again is another move.
     """
 
     service: str
     version: str
     duration: datetime.timedelta
+    revision: int = 0
 
 
 class Directory(abc.ABC):
--- a/src/peridothitch/ports/site.py
+++ b/src/peridothitch/ports/site.py
@@ -31,6 +31,8 @@
     usage_window : datetime.timedelta
     usage_delay : datetime.timedelta
         From a usage window's end until its report is due.
+    exposed_share : float
+        Largest share of a service's requests that an unproved version may get.
     """
 
     grace: datetime.timedelta
@@ -43,6 +45,7 @@
     orders_are_fenced: bool
     usage_window: datetime.timedelta
     usage_delay: datetime.timedelta
+    exposed_share: float = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
