Soak of real processes; fewer calls to the store; quotas after a total restart

Change: one connection reads the three prefixes in turn; the record stays until the demand is known; the even part of a quota grows with chance; what the record tells is let pass at once.

Calls: changes that come in groups share a poll, six relays a fleet instead of two a data centre, and hosts stand in when all relays have lost the store.

Ruled out: bursts of the upstreams' own; the late answers begin with the refusals.

--- a/features/forwarding_bench.py
+++ b/features/forwarding_bench.py
@@ -205,6 +205,7 @@
 
     def close(self):
         """Stop everything."""
+        self.store.close()
         self._stack.close()
 
     def request(self, path, method="POST", body=b"", host=None, **headers):
--- a/features/forwarding_decisions.feature
+++ b/features/forwarding_decisions.feature
@@ -30,6 +30,29 @@
     When 7 hosts are asked for 5 times a quota and all restart after 20 seconds
     Then in every span at most the permitted use is let pass
 
+  Scenario Outline: All processes are killed while the quota is far away
+    When <count> hosts are asked for <multiple> times a quota and all are killed
+    Then at most <refused> in 100 requests of the next 4 seconds are refused
+
+    Examples:
+      | count | multiple | refused |
+      | 7     | 0.5      | 2       |
+      | 7     | 0.6      | 2       |
+      | 80    | 0.5      | 5       |
+      | 80    | 0.6      | 5       |
+
+  Scenario Outline: All processes are killed and the demand jumps at that moment
+    When <count> hosts are asked for 0.8 times a quota and all are killed
+    And then for <multiple> times a quota for 12 seconds
+    Then in every span at most the permitted use is let pass
+
+    Examples:
+      | count | multiple |
+      | 7     | 2        |
+      | 7     | 8        |
+      | 80    | 2        |
+      | 80    | 8        |
+
   Scenario: The longest prefix is found
     Then for all routes and paths the route with the longest prefix is found
 
--- a/features/quota_fleet.py
+++ b/features/quota_fleet.py
@@ -48,6 +48,9 @@
             share_by_customer={CUSTOMER: self.share},
             used_by_customer={CUSTOMER: self.meter.used(now) / whole},
             demand_by_customer={CUSTOMER: self.meter.demand(now)},
+            size_by_customer={CUSTOMER: self.meter.mean_units}
+            if self.meter.mean_units
+            else {},
         )
 
 
@@ -70,6 +73,8 @@
         self._hosts = []
         self.passed = []
         self.asked = self.refused = 0
+        self._recorded = None
+        self.refused_before = self.asked_before = 0
         self._start("first")
 
     def _start(self, incarnation):
@@ -89,9 +94,22 @@
             for number in range(self._count)
         ]
 
-    def restart(self):
-        """Start all processes again; they remember nothing."""
+    def restart(self, recorded_part=None):
+        """Start all processes again; they remember nothing.
+
+        Parameters
+        ----------
+        recorded_part : float or None
+            Part of the quota that the store says was asked for, if it says anything.
+        """
         self._start(f"after-{self._now}")
+        self.refused_before = self.refused
+        self.asked_before = self.asked
+        self._recorded = recorded_part
+        if recorded_part is None:
+            return
+        for host in self._hosts:
+            host.meter.correct_assumed(min(1.0, recorded_part))
 
     def idle(self, seconds):
         """Let time pass without requests."""
@@ -123,8 +141,14 @@
         self.asked += 1
         limit = 0.0
         if self._now - self._began > SETTLED_SECONDS:
+            demand = host.meter.demand(self._now)
+            share = token_quota.share_of(demand, self._total, self._count)
             limit = token_quota.relaxed_limit(
-                self._total, QUOTA, self._whole, host.share, self._count
+                self._total, QUOTA, self._whole, max(share, host.share), self._count
+            )
+        elif self._recorded is not None:
+            limit = token_quota.recorded_limit(
+                self._recorded, self._whole, host.share, self._count
             )
         if host.meter.ask(tokens, self._now, limit):
             self.passed.append((self._now, tokens))
@@ -140,6 +164,11 @@
             host.meter.limit = host.share * self._whole
         self._total = self._ledger.demand().get(CUSTOMER, 0.0)
 
+    def refused_part(self):
+        """Return the part of the requests since the last restart that were refused."""
+        asked = self.asked - self.asked_before
+        return (self.refused - self.refused_before) / asked
+
     def most_in_span(self):
         """Return the most tokens let pass in any span."""
         window = collections.deque()
--- /dev/null
+++ b/features/relay_fleet.py
@@ -0,0 +1,135 @@
+"""Entry hosts that tell each other what a few of them read from the store."""
+
+import dataclasses
+import datetime
+
+import move_fleet
+
+from peridothitch import errors
+from peridothitch.adapters import metrics
+from peridothitch.coordination import mirror
+from peridothitch.gateway.forwarding import peer_sync
+from peridothitch.ports import peers
+
+STEP = datetime.timedelta(milliseconds=500)
+PREFIX = "op/"
+
+
+class Mirror:
+    """A mirror whose host polls the store once a step."""
+
+    def __init__(self):
+        self.prefix = PREFIX
+        self.version = (1, 1)
+        self.is_known = True
+        self.is_followed = False
+        self.has_contact = True
+
+    def state(self):
+        return mirror.MirrorState(PREFIX, self.version[0])
+
+    def merge(self, state):
+        if state.revision <= self.version[0]:
+            return False
+        self.version = (state.revision, state.revision)
+        return True
+
+    def poll(self, revision, is_served):
+        """Follow a store that serves this host or turns it away."""
+        self.is_followed = True
+        self.has_contact = is_served
+        if is_served:
+            self.version = (revision, revision)
+
+
+@dataclasses.dataclass
+class Member:
+    """One entry host."""
+
+    sync: object
+    mirror: Mirror
+    answer_by_method: dict
+
+
+class Peers(peers.Peers):
+    """All members of a fleet as one of them sees them."""
+
+    def __init__(self, fleet, host_id, answer_by_method):
+        self.host_id = host_id
+        self._fleet = fleet
+        self._answer_by_method = answer_by_method
+
+    def members(self):
+        return self._fleet.peer_by_id
+
+    def register(self, method, answer):
+        self._answer_by_method[method] = answer
+
+    def call(self, host_id, method, payload, timeout):
+        member = self._fleet.member_by_id.get(host_id)
+        if member is None:
+            raise errors.PeerError(f"{host_id} is down", False)
+        return member.answer_by_method[method](payload)
+
+
+class RelayFleet:
+    """Entry hosts in several data centres before one store."""
+
+    def __init__(self, host_count, data_centre_count):
+        self.clock = move_fleet.VirtualClock()
+        self.revision = 1
+        self.turned_away = set()
+        self.polls = 0
+        self.member_by_id = {}
+        self.peer_by_id = {
+            f"edge-{number}": peers.Peer(
+                host_id=f"edge-{number}",
+                address="",
+                data_centre=f"dc-{number % data_centre_count}",
+            )
+            for number in range(host_count)
+        }
+        for host_id in self.peer_by_id:
+            self._add(host_id)
+
+    def _add(self, host_id):
+        found = Mirror()
+        answer_by_method = {}
+        sync = peer_sync.PeerSync(
+            (found,),
+            Peers(self, host_id, answer_by_method),
+            peer_sync.SharedTime(self.clock),
+            self.clock,
+            metrics.Metrics(),
+        )
+        self.member_by_id[host_id] = Member(sync, found, answer_by_method)
+
+    def followers(self):
+        """Return the ids of the hosts that follow the store."""
+        return {
+            host_id
+            for host_id, member in self.member_by_id.items()
+            if member.sync.should_follow_store()
+        }
+
+    def run(self, seconds):
+        """Let time pass."""
+        end = self.clock.passed + datetime.timedelta(seconds=seconds)
+        while self.clock.passed < end:
+            self.clock.passed += STEP
+            followers = self.followers()
+            for host_id, member in self.member_by_id.items():
+                if host_id not in followers:
+                    member.mirror.is_followed = False
+                    continue
+                self.polls += 1
+                member.mirror.poll(self.revision, host_id not in self.turned_away)
+            for member in self.member_by_id.values():
+                member.sync.ask()
+
+    def informed(self):
+        """Return how many hosts know the store's newest revision."""
+        return sum(
+            member.mirror.version[0] == self.revision
+            for member in self.member_by_id.values()
+        )
--- a/features/steps/forwarding_decisions_steps.py
+++ b/features/steps/forwarding_decisions_steps.py
@@ -96,6 +96,24 @@
     context.fleet.play(multiple, seconds)
 
 
+@behave.when(
+    "{count:d} hosts are asked for {multiple:g} times a quota and all are killed"
+)
+def ask_and_kill(context, count, multiple):
+    context.fleet = quota_fleet.QuotaFleet(count, _SEED)
+    context.fleet.idle(10)
+    context.fleet.play(multiple, 20)
+    context.fleet.restart(multiple)
+    context.multiple = multiple
+
+
+@behave.then("at most {count:d} in 100 requests of the next 4 seconds are refused")
+def check_refused_after_kill(context, count):
+    context.fleet.play(context.multiple, 4)
+    refused = context.fleet.refused_part()
+    assert refused <= count / 100, refused
+
+
 @behave.when("then for {multiple:g} times a quota for {seconds:d} seconds")
 def ask_more(context, multiple, seconds):
     context.fleet.play(multiple, seconds)
--- /dev/null
+++ b/features/steps/store_relays_steps.py
@@ -0,0 +1,55 @@
+"""Steps for hosts that follow the store for others."""
+
+import behave
+import relay_fleet
+
+
+@behave.given("{hosts:d} hosts in {data_centres:d} data centres")
+def start_fleet(context, hosts, data_centres):
+    context.fleet = relay_fleet.RelayFleet(hosts, data_centres)
+
+
+@behave.when("{seconds:d} seconds pass for them")
+def let_pass(context, seconds):
+    context.fleet.run(seconds)
+
+
+@behave.then("{count:d} hosts follow the store")
+def check_followers(context, count):
+    followers = context.fleet.followers()
+    assert len(followers) == count, followers
+
+
+@behave.then("at most {count:d} hosts follow the store")
+def check_most_followers(context, count):
+    followers = context.fleet.followers()
+    assert len(followers) <= count, followers
+
+
+@behave.when("the store changes and {seconds:d} seconds pass")
+def change(context, seconds):
+    context.fleet.revision += 1
+    context.fleet.run(seconds)
+
+
+@behave.then("all hosts know it")
+def check_informed(context):
+    informed = context.fleet.informed()
+    assert informed == len(context.fleet.member_by_id), informed
+
+
+@behave.when("the store turns its followers away")
+def turn_away(context):
+    context.fleet.turned_away = context.fleet.followers()
+
+
+@behave.when("the store turns all hosts away and {seconds:d} seconds pass")
+def turn_all_away(context, seconds):
+    context.fleet.turned_away = set(context.fleet.member_by_id)
+    context.fleet.run(seconds)
+
+
+@behave.when("the store serves all hosts and {seconds:d} seconds pass")
+def serve_all(context, seconds):
+    context.fleet.turned_away = set()
+    context.fleet.run(seconds)
--- /dev/null
+++ b/features/store_relays.feature
@@ -0,0 +1,36 @@
+Feature: A few entry hosts follow the store for all
+
+  Scenario Outline: On a calm day only the relays follow the store
+    Given <hosts> hosts in <data_centres> data centres
+    When 10 seconds pass for them
+    Then <followers> hosts follow the store
+    When the store changes and 3 seconds pass
+    Then all hosts know it
+
+    Examples:
+      | hosts | data_centres | followers |
+      | 7     | 3            | 6         |
+      | 73    | 6            | 6         |
+      | 380   | 4            | 8         |
+
+  Scenario Outline: The store turns all relays away
+    Given <hosts> hosts in <data_centres> data centres
+    When 10 seconds pass for them
+    And the store turns its followers away
+    And the store changes and 10 seconds pass
+    Then all hosts know it
+    When the store serves all hosts and 8 seconds pass
+    Then at most <followers> hosts follow the store
+
+    Examples:
+      | hosts | data_centres | followers |
+      | 73    | 6            | 6         |
+      | 380   | 4            | 8         |
+
+  Scenario: The store is down for all
+    Given 73 hosts in 6 data centres
+    When 10 seconds pass for them
+    And the store turns all hosts away and 9 seconds pass
+    Then at most 30 hosts follow the store
+    When the store serves all hosts and 8 seconds pass
+    Then at most 6 hosts follow the store
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real entry hosts: faults from outside, promises checked."""
--- /dev/null
+++ b/soak/processes.py
@@ -0,0 +1,181 @@
+"""Entry hosts as processes that are signalled from outside."""
+
+import http.client
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+__all__ = ["EntryProcess"]
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_SETTINGS = """\
+node_name = "{name}"
+zone = "{data_centre}"
+region = "lothian"
+seed_nodes = [{seeds}]
+[zones]
+lothian-a = "lothian"
+lothian-b = "lothian"
+[listen]
+frontend = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+control_plane = "127.0.0.1:{peers}"
+[bounds]
+grace_s = {grace}
+retry_min = 100000
+lease_ms = 3000
+fencing_enabled = true
+report_window_s = 5
+usage_late_s = 10
+[platform]
+address = "{store}"
+[cloud_api]
+address = "{duties}"
+duties = ["usage_report"]
+"""
+_RESTART_SECONDS = 0.4
+"""Until the platform starts a process again that has ended."""
+
+_READY_TIMEOUT = 0.5
+
+
+class EntryProcess:
+    """One entry host, started again whenever it ends.
+
+    Parameters
+    ----------
+    name : str
+    folder : pathlib.Path
+        For its settings and logs.
+    fields : dict
+        Of the settings file.
+    """
+
+    def __init__(self, name, folder, fields):
+        self.name = name
+        self._folder = folder
+        self._fields = fields | {"name": name}
+        self._fields |= {key: _free_port() for key in ("front", "ready", "peers")}
+        self._lock = threading.RLock()
+        self._process = None
+        self._starts = 0
+        self._restart_at = None
+        self._resume_at = None
+
+    @property
+    def address(self):
+        """Where callers connect."""
+        return f"127.0.0.1:{self._fields['front']}"
+
+    @property
+    def peers_address(self):
+        """Where other hosts connect."""
+        return f"127.0.0.1:{self._fields['peers']}"
+
+    def start(self):
+        """Start a process."""
+        with self._lock:
+            self._write_settings()
+            self._starts += 1
+            log = (self._folder / f"{self.name}.{self._starts}.log").open("wb")
+            with log:
+                self._process = subprocess.Popen(
+                    [sys.executable, "-m", "peridothitch", "forward"]
+                    + ["--settings", str(self._settings_path)],
+                    stdout=log,
+                    stderr=subprocess.STDOUT,
+                    env=os.environ | {"PYTHONPATH": str(_ROOT / "src")},
+                )
+            self._restart_at = None
+            self._resume_at = None
+
+    @property
+    def _settings_path(self):
+        return self._folder / f"{self.name}.toml"
+
+    def _write_settings(self):
+        self._settings_path.write_text(_SETTINGS.format(**self._fields))
+
+    def set_seeds(self, addresses):
+        """Name the other hosts in the settings."""
+        seeds = ", ".join(f'"{address}"' for address in addresses)
+        self._fields["seeds"] = seeds
+
+    def tick(self):
+        """Start the process again if it has ended; end a pause that is over."""
+        with self._lock:
+            now = time.monotonic()
+            if self._resume_at is not None and now >= self._resume_at:
+                self._resume_at = None
+                self._signal(signal.SIGCONT)
+            if self._process is None or self._process.poll() is None:
+                return
+            if self._restart_at is None:
+                self._restart_at = now + _RESTART_SECONDS
+            elif now >= self._restart_at:
+                self.start()
+
+    def stop(self):
+        """Ask the process to end."""
+        self._signal(signal.SIGTERM)
+
+    def kill(self):
+        """End the process at once."""
+        self._signal(signal.SIGKILL)
+
+    def pause(self, seconds):
+        """Stop the process for a time."""
+        with self._lock:
+            self._signal(signal.SIGSTOP)
+            self._resume_at = time.monotonic() + seconds
+
+    def change_settings(self, by_signal):
+        """Write other settings and tell the process so, or not."""
+        with self._lock:
+            self._fields["grace"] = self._fields["grace"] + 1
+            self._write_settings()
+            if by_signal:
+                self._signal(signal.SIGHUP)
+
+    def _signal(self, number):
+        with self._lock:
+            if self._process is not None and self._process.poll() is None:
+                self._process.send_signal(number)
+
+    def is_ready(self):
+        """Return whether the process says that it takes requests."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self._fields["ready"], timeout=_READY_TIMEOUT
+        )
+        try:
+            connection.request("GET", "/v1/readyz")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+    def end(self, seconds):
+        """End the process for good; returns its code, None if it had to be killed."""
+        with self._lock:
+            process, self._process = self._process, None
+        if process is None or process.poll() is not None:
+            return 0
+        process.send_signal(signal.SIGCONT)
+        process.send_signal(signal.SIGTERM)
+        try:
+            return process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+            return None
+
+
+def _free_port():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,393 @@
+"""The platform's stand-ins, entry hosts before them, and the faults of a plan."""
+
+import contextlib
+import json
+import random
+import threading
+import time
+
+from peridothitch.adapters import boot_clock, wsgi_server
+from peridothitch.standins import (
+    metadata_store,
+    platform_duties,
+    platform_records,
+    replica,
+)
+from soak import callers, links, plan, processes
+
+__all__ = ["DRAIN_SECONDS", "Leaving", "World"]
+
+CUSTOMER = "lanark"
+SERVICES = ("till", "model")
+DRAIN_SECONDS = 2.5
+"""From a host's notice until it gets no new request."""
+
+_UPSTREAMS = 3
+_CRASH_SECONDS = 1.0
+_LEAVE_SECONDS = 4.0
+_SLOW_SECONDS = 0.4
+_LATE_SECONDS = 1.0
+_LOST_ANSWERS = 3
+_MISBEHAVIOURS = 4
+_READY_PERIOD = 0.3
+_STORM_CHANGES = 5
+_STORE_THREADS = 64
+_KIND_BY_ROUTE = {
+    "charge": "unsafe",
+    "lookup": "safe",
+    "helper": "streaming",
+    "planner": "streaming",
+}
+
+
+class Upstream:
+    """One replica behind a link."""
+
+    def __init__(self, host_id, service):
+        self.service = service
+        self.replica = replica.Replica(host_id, event_count=6, event_gap_seconds=0.02)
+        self.replica.start()
+        self.link = links.Link(self.replica.address)
+
+
+class Leaving:
+    """An upstream that told that it leaves.
+
+    Attributes
+    ----------
+    replica : peridothitch.standins.replica.Replica
+    since : float
+        Monotonic seconds.
+    """
+
+    def __init__(self, found, since):
+        self.replica = found
+        self.since = since
+
+
+class World:
+    """Everything but the callers.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For settings and logs.
+    host_count : int
+    seed : int
+
+    Attributes
+    ----------
+    replicas : list of peridothitch.standins.replica.Replica
+        All that ever ran.
+    leaving : list of Leaving
+    dropped_routes : set of str
+        Prefixes that the newest rules don't have any more.
+    """
+
+    def __init__(self, folder, host_count, seed):
+        self._stack = contextlib.ExitStack()
+        self._random = random.Random(seed)
+        self._lock = threading.RLock()
+        self._stop = threading.Event()
+        self._threads = []
+        self._serial = 0
+        self._version = 0
+        self._extra_routes = []
+        self._keys = [callers.KEY, callers.SPARE_KEY]
+        self._ready = []
+        self.replicas = []
+        self.leaving = []
+        self.dropped_routes = set()
+        self.dropped_keys = set()
+        self._start_platform()
+        self.upstreams = []
+        for service in SERVICES:
+            for _ in range(_UPSTREAMS):
+                self._add_upstream(service)
+        self._configure()
+        self.hosts, self.store_links, self.caller_links = [], [], []
+        for number in range(host_count):
+            self._add_host(folder, number)
+        addresses = [host.peers_address for host in self.hosts]
+        for host in self.hosts:
+            host.set_seeds(a for a in addresses if a != host.peers_address)
+
+    def _start_platform(self):
+        self.store = metadata_store.MetadataStore(boot_clock.BootClock())
+        self.store_service = metadata_store.MetadataStoreService(self.store)
+        self.duties = platform_duties.PlatformDutiesService()
+        self._store_address = self._serve(self.store_service)
+        self._duties_address = self._serve(self.duties)
+        self._stack.callback(self.store.close)
+
+    def _serve(self, application):
+        server = wsgi_server.WsgiServer(application, "127.0.0.1:0", _STORE_THREADS)
+        server.start()
+        self._stack.callback(server.close)
+        return f"127.0.0.1:{server.port}"
+
+    def _add_host(self, folder, number):
+        store_link = links.Link(self._store_address)
+        fields = {
+            "data_centre": f"lothian-{'ab'[number % 2]}",
+            "grace": 8,
+            "store": store_link.address,
+            "duties": self._duties_address,
+            "seeds": "",
+        }
+        host = processes.EntryProcess(f"edge-{number}", folder, fields)
+        caller_link = links.Link(host.address)
+        self._stack.callback(store_link.close)
+        self._stack.callback(caller_link.close)
+        self.hosts.append(host)
+        self.store_links.append(store_link)
+        self.caller_links.append(caller_link)
+
+    def _add_upstream(self, service, host_id=None):
+        with self._lock:
+            self._serial += 1
+            found = Upstream(host_id or f"{service}-{self._serial}", service)
+            self.upstreams.append(found)
+            self.replicas.append(found.replica)
+        self._stack.callback(found.replica.close)
+        self._stack.callback(found.link.close)
+        self._register(found)
+        return found
+
+    def _register(self, found, **changes):
+        record = platform_records.host_record(
+            found.link.address,
+            found.service,
+            "lothian-a",
+            born=int(time.time() * 1000),
+            **changes,
+        )
+        self.store.put(f"servers/{found.replica.replica_id}", record)
+
+    def _configure(self):
+        routes = [
+            _route(name, route.prefix) for name, route in callers.ROUTE_BY_NAME.items()
+        ]
+        routes += [_route("lookup", prefix, prefix) for prefix in self._extra_routes]
+        self._version += self._random.randrange(1, 4)
+        value = platform_records.configuration(
+            self._version,
+            routes,
+            [
+                {"name": "till", "max_connections": 100},
+                {"name": "model", "max_connections": 300, "engine": {"capacity": 48}},
+            ],
+            [{"name": CUSTOMER, "api_keys": list(self._keys)}],
+        )
+        self.store.put("op/config", value)
+
+    @property
+    def extra_routes(self):
+        """Prefixes that were added to the rules and are still there."""
+        return tuple(self._extra_routes)
+
+    def start(self):
+        """Start the entry hosts and the platform's supervision of them."""
+        for host in self.hosts:
+            host.start()
+        for run in (self._supervise, self._ask_ready):
+            thread = threading.Thread(target=run, daemon=True)
+            thread.start()
+            self._threads.append(thread)
+
+    def _supervise(self):
+        while not self._stop.wait(0.05):
+            for host in self.hosts:
+                host.tick()
+
+    def _ask_ready(self):
+        while not self._stop.wait(_READY_PERIOD):
+            self._ready = [
+                number for number, host in enumerate(self.hosts) if host.is_ready()
+            ]
+
+    def ready_count(self):
+        """Return how many hosts said lately that they take requests."""
+        return len(self._ready)
+
+    def pick_host(self):
+        """Return name and address for a new connection, as the balancer does."""
+        numbers = self._ready or range(len(self.hosts))
+        number = self._random.choice(list(numbers))
+        return self.hosts[number].name, self.caller_links[number].address
+
+    def close(self):
+        """End everything; returns the exit codes of the hosts."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+        codes = [host.end(15) for host in self.hosts]
+        self._stack.close()
+        return codes
+
+    def heal(self):
+        """End all faults that last."""
+        for link in (*self.store_links, *self.caller_links):
+            link.apply("")
+        for found in self.upstreams:
+            found.link.apply("")
+        faults = self.store_service.faults
+        faults.refuse_status = faults.lose_answers = 0
+        faults.delay_seconds = faults.late_seconds = 0.0
+        self.duties.lose_answers = 0
+
+    def begin(self, fault, traffic):
+        """Begin a `Fault`; returns a callable that ends it."""
+        host_number = fault.target % len(self.hosts)
+        host = self.hosts[host_number]
+        seconds = fault.length.total_seconds()
+        match fault.kind:
+            case plan.Kind.HOST_STOPPED:
+                host.stop()
+            case plan.Kind.HOST_PAUSED:
+                host.pause(seconds)
+            case plan.Kind.HOST_KILLED:
+                host.kill()
+            case plan.Kind.ALL_KILLED:
+                for each in self.hosts:
+                    each.kill()
+            case plan.Kind.SETTINGS_CHANGED:
+                host.change_settings(by_signal=fault.target % 2 == 0)
+            case plan.Kind.STORE_LINK:
+                return self._break(self.store_links[host_number], fault.variant)
+            case plan.Kind.CALLER_LINK:
+                return self._break(self.caller_links[host_number], fault.variant)
+            case plan.Kind.UPSTREAM_LINK:
+                return self._break(self._upstream(fault).link, fault.variant)
+            case plan.Kind.STORE_FAULT:
+                return self._break_store(fault.variant)
+            case plan.Kind.DUTIES_LOST:
+                self.duties.lose_answers = _LOST_ANSWERS
+            case plan.Kind.UPSTREAM_CRASHED:
+                self._crash(self._upstream(fault), fault.variant)
+            case plan.Kind.UPSTREAM_LEAVING:
+                self._leave(self._upstream(fault), fault.variant)
+            case plan.Kind.UPSTREAM_FAULT:
+                found = self._upstream(fault).replica
+                found.behave(*[fault.variant] * _MISBEHAVIOURS)
+            case plan.Kind.RULES_CHANGED:
+                self._change_rules(fault.variant)
+            case plan.Kind.BURST:
+                return _burst(traffic)
+        return _do_nothing
+
+    def _upstream(self, fault):
+        return self.upstreams[fault.target % len(self.upstreams)]
+
+    def _break(self, link, variant):
+        link.apply(variant)
+        return lambda: link.apply("")
+
+    def _break_store(self, variant):
+        faults = self.store_service.faults
+        match variant:
+            case "down":
+                faults.refuse_status = 503
+            case "slow":
+                faults.delay_seconds = _SLOW_SECONDS
+            case "answers lost":
+                faults.lose_answers = _LOST_ANSWERS
+            case "done late":
+                faults.late_seconds = _LATE_SECONDS
+                faults.lose_answers = _LOST_ANSWERS
+            case "history gone":
+                self.store.compact()
+
+        def end():
+            faults.refuse_status = 0
+            faults.delay_seconds = faults.late_seconds = 0.0
+
+        return end
+
+    def _later(self, seconds, run):
+        timer = threading.Timer(seconds, run)
+        timer.daemon = True
+        timer.start()
+
+    def _crash(self, found, variant):
+        with self._lock:
+            if found not in self.upstreams:
+                return
+            self.upstreams.remove(found)
+        found.replica.close()
+        host_id = found.replica.replica_id
+        if variant == "same id":
+            self._later(
+                _CRASH_SECONDS, lambda: self._add_upstream(found.service, host_id)
+            )
+            return
+        self._add_upstream(found.service)
+        self._later(_CRASH_SECONDS, lambda: self.store.remove(f"servers/{host_id}"))
+
+    def _leave(self, found, variant):
+        with self._lock:
+            if found not in self.upstreams:
+                return
+            self.upstreams.remove(found)
+        self._add_upstream(found.service)
+        host_id = found.replica.replica_id
+        if variant == "told":
+            self._register(found, state="draining")
+            self._later(_LEAVE_SECONDS, lambda: self.store.remove(f"servers/{host_id}"))
+        else:
+            self.store.remove(f"servers/{host_id}")
+        self.leaving.append(Leaving(found.replica, time.monotonic()))
+
+    def _change_rules(self, variant):
+        match variant:
+            case "route added":
+                self._add_route()
+            case "route dropped" if self._extra_routes:
+                self.dropped_routes.add(self._extra_routes.pop(0))
+            case "key dropped" if callers.SPARE_KEY in self._keys:
+                self._keys.remove(callers.SPARE_KEY)
+                self.dropped_keys.add(callers.SPARE_KEY)
+            case "storm":
+                for _ in range(_STORM_CHANGES):
+                    self._add_route()
+        self._configure()
+
+    def _add_route(self):
+        with self._lock:
+            self._serial += 1
+            self._extra_routes.append(f"/extra-{self._serial}/")
+        self._configure()
+
+    def rules(self):
+        """Return the newest rules' version."""
+        return json.loads(self.store.read("op/config"))["version"]
+
+
+def _route(name, prefix, route_name=None):
+    return {
+        "name": route_name or name,
+        "host": callers.HOST_NAME,
+        "prefix": prefix,
+        "route_type": _KIND_BY_ROUTE[name],
+        "service": "model" if _KIND_BY_ROUTE[name] == "streaming" else "till",
+        "max_attempts": 2 if callers.ROUTE_BY_NAME[name].repeats else 1,
+        "timeout_ms": 2000,
+        "target_latency_ms": 500,
+        "target_gap_ms": 300,
+        "stream_resume": name == "helper",
+        "session_affinity": _KIND_BY_ROUTE[name] == "streaming",
+        "priority": 1,
+    }
+
+
+def _burst(traffic):
+    traffic.burst = True
+
+    def end():
+        traffic.burst = False
+
+    return end
+
+
+def _do_nothing():
+    """End a fault that ends by itself."""
--- a/src/peridothitch/cli/platform_trial.py
+++ b/src/peridothitch/cli/platform_trial.py
@@ -105,6 +105,7 @@
     def stop(self):
         """Stop everything."""
         self._host.stop()
+        self._store.close()
         self._stack.close()
 
     def _serve(self, application):
--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -24,6 +24,9 @@
 _IDLE_TIME = datetime.timedelta(milliseconds=500)
 """Between two questions whether the store is to be followed."""
 
+_BATCH_TIME = datetime.timedelta(milliseconds=300)
+"""Changes often come in groups; the ones after the first share a call."""
+
 _FIRST_DELAY = datetime.timedelta(milliseconds=150)
 _LONGEST_DELAY = datetime.timedelta(seconds=1)
 """Between calls to a store that refuses them; refused calls are paid for, too."""
@@ -87,6 +90,7 @@
         self._digest = 0
         self._callbacks = []
         self._should_follow = _always
+        self._is_followed = False
         self._lost_at = None
         self._regained_at = None
         self._outage = datetime.timedelta(0)
@@ -96,6 +100,11 @@
         """Whether the keys have been read or learned."""
         return self.revision > 0
 
+    @property
+    def is_followed(self):
+        """Whether this host watches the store itself now."""
+        return self._is_followed
+
     @property
     def has_contact(self):
         """Whether the store answered the last call."""
@@ -171,6 +180,7 @@
         failures = 0
         while not stop.is_set():
             if self.is_known and not self._should_follow():
+                self._is_followed = False
                 self._clock.wait(stop, _IDLE_TIME)
                 continue
             try:
@@ -178,19 +188,20 @@
             except errors.StoreHistoryGoneError:
                 _log.info("store history is gone; reading again", prefix=self.prefix)
                 self._metrics.count("mirror_history_gone", prefix=self.prefix)
-                failures = self._try_read(failures)
+                failures = 0 if self.try_read() else failures + 1
             except errors.StoreError as error:
                 self._note_failure(error)
                 failures += 1
             self._clock.wait(stop, _delay(failures))
 
-    def _try_read(self, failures):
+    def try_read(self):
+        """Read all keys once; returns whether the store answered."""
         try:
             self.read()
         except errors.StoreError as error:
             self._note_failure(error)
-            return failures + 1
-        return 0
+            return False
+        return True
 
     def _follow(self, stop):
         if not self.is_known or not self.has_contact:
@@ -198,10 +209,14 @@
             # might replay a long history.
             self.read()
         watch = self._store.watch(self.prefix, self.revision + 1)
+        self._is_followed = True
         while not stop.is_set():
             events = watch.poll(_POLL_TIME)
+            self._metrics.count("mirror_polls", prefix=self.prefix)
             self._note_contact()
             self._apply(events, watch.revision)
+            if events:
+                self._clock.wait(stop, _BATCH_TIME)
             if self.revision > watch.revision or not self._should_follow():
                 return
 
--- a/src/peridothitch/coordination/relays.py
+++ b/src/peridothitch/coordination/relays.py
@@ -6,12 +6,15 @@
 """
 
 import functools
+import math
 
 import xxhash
 
-__all__ = ["ancestors", "is_relay", "position", "relays"]
+__all__ = ["ancestors", "is_relay", "position", "relays", "stand_in_rank"]
+
+_RELAYS = 6
+"""Members of a fleet that watch the store at least; it may turn several away."""
 
-_RELAYS_PER_DATA_CENTRE = 2
 _CHILDREN_PER_HOST = 4
 _KEPT_POSITIONS = 4096
 
@@ -31,9 +34,15 @@
     return sorted(local, key=position)
 
 
+def _count(peer_by_id):
+    """Return the relays of each data centre."""
+    data_centres = {peer.data_centre for peer in peer_by_id.values()}
+    return math.ceil(_RELAYS / max(1, len(data_centres)))
+
+
 def relays(peer_by_id, data_centre):
     """Return the ids of the members that watch the store for a data centre."""
-    return _ordered(peer_by_id, data_centre)[:_RELAYS_PER_DATA_CENTRE]
+    return _ordered(peer_by_id, data_centre)[: _count(peer_by_id)]
 
 
 def is_relay(peer_by_id, host_id):
@@ -42,6 +51,14 @@
     return peer is not None and host_id in relays(peer_by_id, peer.data_centre)
 
 
+def stand_in_rank(peer_by_id, host_id):
+    """Return how many members stand in for relays before a member does."""
+    data_centres = {peer.data_centre for peer in peer_by_id.values()}
+    watching = {relay for name in data_centres for relay in relays(peer_by_id, name)}
+    own = position(host_id)
+    return sum(position(other) < own for other in peer_by_id if other not in watching)
+
+
 def ancestors(peer_by_id, host_id):
     """Return the ids that a host asks in turn: its parent first, then up to a relay.
 
@@ -52,8 +69,9 @@
         return []
     ordered = _ordered(peer_by_id, peer.data_centre)
     rank = ordered.index(host_id)
+    count = _count(peer_by_id)
     chain = []
-    while rank >= _RELAYS_PER_DATA_CENTRE:
-        rank = (rank - _RELAYS_PER_DATA_CENTRE) // _CHILDREN_PER_HOST
+    while rank >= count:
+        rank = (rank - count) // _CHILDREN_PER_HOST
         chain.append(ordered[rank])
     return chain
--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -95,6 +95,7 @@
         self._stop = threading.Event()
         self._stopping = False
         self._ready = False
+        self._runner = None
         self.metrics = metrics.Metrics()
         self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
         service = platform.store
@@ -267,8 +268,8 @@
         runner = loops.LoopRunner(
             self._background, self._stop, self._clock, self.metrics
         )
-        for found in self._mirrors:
-            runner.start(found.run)
+        self._runner = runner
+        runner.start(self._read_store)
         self._server.start()
         self._fleet.start(runner)
         for run in (
@@ -291,6 +292,19 @@
             port=self.port,
         )
 
+    def _read_store(self, stop):
+        """Read what is mirrored, then follow it.
+
+        One call after the other, on one connection: when all hosts start at the same
+        time, the store drops the connections that its queue can't hold.
+        """
+        operators, hosts, leases = self._mirrors
+        # Quotas depend on the fleet's record, which lies with the leases.
+        for found in (leases, operators, hosts):
+            found.try_read()
+        for found in self._mirrors:
+            self._runner.start(found.run)
+
     def stop(self):
         """Stop without cutting off a request in progress."""
         self._stopping = True
@@ -378,4 +392,5 @@
             share_by_customer=self._quotas.shares(),
             used_by_customer=self._quotas.used(),
             busy_by_service=self._busy.busy_by_service(),
+            size_by_customer=self._quotas.sizes(),
         )
--- a/src/peridothitch/gateway/forwarding/fleet_record.py
+++ b/src/peridothitch/gateway/forwarding/fleet_record.py
@@ -22,6 +22,9 @@
 _STEP = 0.2
 """Change of a part that is written; smaller ones would cost a write each second."""
 
+_LEAST_AGE_SECONDS = 5.0
+"""Time after which the demand of all hosts is known well enough to be recorded."""
+
 _LEAST_PERIOD = datetime.timedelta(seconds=1)
 _log = logbook.Logger(__name__)
 
@@ -80,6 +83,9 @@
         now = self._clock.monotonic()
         if view is None or table is None or now < self._next_write:
             return
+        if view.age_seconds < _LEAST_AGE_SECONDS:
+            # The former record says more than a fleet that has just started.
+            return
         known = read_record(self._leases)
         record = FleetRecord(
             host_count=max(view.host_count, known.host_count),
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -71,6 +71,8 @@
         Counts of processes that this host has not heard of lately.
     is_final : bool
         Whether the process ends; its counts are passed on from then on.
+    size_by_customer : dict of str to float
+        Mean units of the quotas that a request asks for.
     """
 
     host_id: str
@@ -83,6 +85,7 @@
     settled_seconds: float = 0.0
     departed: tuple[ProcessCounts, ...] = ()
     is_final: bool = False
+    size_by_customer: dict[str, float] = {}
 
 
 class FleetView(msgspec.Struct, frozen=True, array_like=True):
@@ -302,4 +305,5 @@
         share_by_customer=report.share_by_customer,
         used_by_customer=report.used_by_customer,
         demand_by_customer=report.demand_by_customer,
+        size_by_customer=report.size_by_customer,
     )
--- a/src/peridothitch/gateway/forwarding/peer_sync.py
+++ b/src/peridothitch/gateway/forwarding/peer_sync.py
@@ -27,6 +27,16 @@
 _FRESH_TIME = datetime.timedelta(seconds=2)
 """A host that no peer has answered for so long follows the store itself."""
 
+_START_TIME = datetime.timedelta(seconds=1)
+"""Until a host that has started knows its peers; it reads the store once meanwhile."""
+
+_SOURCE_TIME = datetime.timedelta(seconds=3)
+"""News of the store are older than that only when its relays have lost it."""
+
+_STAND_IN_STEP = datetime.timedelta(milliseconds=300)
+"""Between one host that follows the store for the relays and the next one."""
+
+_NO_TIME = datetime.timedelta(0)
 _log = logbook.Logger(__name__)
 
 
@@ -37,10 +47,23 @@
 
 
 class _Tell(msgspec.Struct, frozen=True, array_like=True):
-    """What the asking host lacks, and true time as Unix seconds."""
+    """What the asking host lacks, true time, and who was in touch with the store.
+
+    Attributes
+    ----------
+    states : tuple of peridothitch.coordination.mirror.MirrorState
+    now : float
+        Unix seconds.
+    source : str
+        Host that was in touch with the store most recently, empty if none is known.
+    source_age : float
+        Seconds since then.
+    """
 
     states: tuple[mirror.MirrorState, ...]
     now: float
+    source: str = ""
+    source_age: float = 0.0
 
 
 class SharedTime(clocks.Clock):
@@ -94,20 +117,44 @@
         self._clock = clock
         self._metrics = metrics
         self._random = random.Random()
+        self._began = clock.monotonic()
         self._answered_at = None
+        self._source = ""
+        self._source_at = self._began
         self._asks_parent = False
         peers.register(_METHOD, self._answer)
 
     def should_follow_store(self):
         """Return whether this host should watch the store instead of asking peers.
 
-        A few hosts of each data centre watch it for the others.
+        A few hosts watch it for the others. When all of these have lost it, more and
+        more of the others do.
         """
+        now = self._clock.monotonic()
         if self._answered_at is None:
+            return now - self._began > _START_TIME
+        if now - self._answered_at > _FRESH_TIME:
             return True
-        if self._clock.monotonic() - self._answered_at > _FRESH_TIME:
+        members, own = self._peers.members(), self._peers.host_id
+        if relays.is_relay(members, own):
             return True
-        return relays.is_relay(self._peers.members(), self._peers.host_id)
+        overdue = now - self._source_at - _SOURCE_TIME
+        if overdue < _NO_TIME:
+            return False
+        return overdue >= relays.stand_in_rank(members, own) * _STAND_IN_STEP
+
+    def _last_contact(self):
+        """Return which host was in touch with the store last, and when."""
+        followed = next(iter(self._mirror_by_prefix.values()))
+        if followed.has_contact and followed.is_followed:
+            return self._peers.host_id, self._clock.monotonic()
+        return self._source, self._source_at
+
+    def _note_source(self, tell):
+        at = self._clock.monotonic() - datetime.timedelta(seconds=tell.source_age)
+        # What others have heard from this host says nothing new.
+        if tell.source not in ("", self._peers.host_id) and at > self._source_at:
+            self._source, self._source_at = tell.source, at
 
     def _choose(self):
         """Return the peer to ask: the next one towards a relay and others in turn."""
@@ -146,6 +193,7 @@
         ended = self._answered_at = self._clock.monotonic()
         moment = datetime.datetime.fromtimestamp(tell.now, datetime.UTC)
         self._time.note(host_id, moment, began + (ended - began) / 2)
+        self._note_source(tell)
         return self._merge(tell)
 
     def _merge(self, tell):
@@ -170,5 +218,11 @@
             own_revision, own_digest = found.version
             if own_revision > revision and own_digest != digest:
                 states.append(found.state())
-        now = self._time.now().timestamp()
-        return msgspec.msgpack.encode(_Tell(tuple(states), now))
+        source, at = self._last_contact()
+        tell = _Tell(
+            tuple(states),
+            self._time.now().timestamp(),
+            source,
+            (self._clock.monotonic() - at).total_seconds(),
+        )
+        return msgspec.msgpack.encode(tell)
--- a/src/peridothitch/gateway/forwarding/quotas.py
+++ b/src/peridothitch/gateway/forwarding/quotas.py
@@ -47,6 +47,7 @@
         self._whole_by_name = {}
         self._share_by_name = {}
         self._random = random.Random()
+        self._began = clock.monotonic()
         self._granted_at = None
         self._total_by_name = None
         self._is_corrected = False
@@ -111,7 +112,7 @@
         now = self._clock.monotonic().total_seconds()
         with self._lock:
             meter = self._meter(customer, now)
-            if meter.ask(units, now, self._relaxed_limit(customer)):
+            if meter.ask(units, now, self._relaxed_limit(customer, now)):
                 return units
             wait = datetime.timedelta(seconds=meter.wait_seconds(units, now))
         self._metrics.count("quota_refusals", customer=customer.name)
@@ -123,15 +124,30 @@
             retry_after=min(wait, _LONGEST_RETRY_AFTER),
         )
 
-    def _relaxed_limit(self, customer):
+    def _relaxed_limit(self, customer, now):
         if self._total_by_name is None:
-            return 0.0
+            return self._recorded_limit(customer)
         if self._clock.monotonic() - self._granted_at > _FRESH_TIME:
             # A host that is cut off doesn't see demand jump elsewhere.
             return 0.0
+        name, host_count = customer.name, self._host_count()
+        total = self._total_by_name.get(name, 0.0)
+        demand = self._meter_by_name[name].demand(now)
+        share = token_quota.share_of(demand, total, host_count)
         return token_quota.relaxed_limit(
-            self._total_by_name.get(customer.name, 0.0),
+            total,
             customer.quota,
+            self._whole_by_name[name],
+            max(share, self._share(name)),
+            host_count,
+        )
+
+    def _recorded_limit(self, customer):
+        age = self._clock.monotonic() - self._began
+        if self._recorded is None or age > self.promises.quota_window:
+            return 0.0
+        return token_quota.recorded_limit(
+            self._recorded.get(customer.name, 0.0),
             self._whole_by_name[customer.name],
             self._share(customer.name),
             self._host_count(),
@@ -154,6 +170,15 @@
             }
         return {name: demand for name, demand in demands.items() if demand >= 1.0}
 
+    def sizes(self):
+        """Return the mean units of a request here, by customer."""
+        with self._lock:
+            return {
+                name: round(meter.mean_units, 1)
+                for name, meter in self._meter_by_name.items()
+                if meter.mean_units
+            }
+
     def shares(self):
         """Return the shares that this host uses, by customer."""
         with self._lock:
--- a/src/peridothitch/policy/quota_shares.py
+++ b/src/peridothitch/policy/quota_shares.py
@@ -33,6 +33,8 @@
         Parts of the quotas that it used in the last span.
     demand_by_customer : dict of str to float
         Units a second that it was asked for.
+    size_by_customer : dict of str to float
+        Mean units of a request.
     """
 
     host_id: str
@@ -40,6 +42,7 @@
     share_by_customer: dict
     used_by_customer: dict
     demand_by_customer: dict
+    size_by_customer: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,6 +51,7 @@
     share_by_customer: dict
     used_by_customer: dict
     demand_by_customer: dict
+    size_by_customer: dict
     at: datetime.timedelta
 
 
@@ -89,11 +93,14 @@
         known = self._grant_by_host.get(host_id)
         if known is None or known.incarnation != report.incarnation:
             # A new process holds nothing of the former one.
-            known = _Grant(report.incarnation, report.share_by_customer, {}, {}, now)
+            known = _Grant(
+                report.incarnation, report.share_by_customer, {}, {}, {}, now
+            )
         known = dataclasses.replace(
             known,
             used_by_customer=report.used_by_customer,
             demand_by_customer=report.demand_by_customer,
+            size_by_customer=report.size_by_customer,
             at=now,
         )
         self._grant_by_host[host_id] = known
@@ -142,9 +149,18 @@
         )
         # Hosts that have not reported yet use an even share.
         taken += even * (count - len(self._grant_by_host))
-        wanted = token_quota.share_of(demand, total, count)
+        size = self._mean_size(customer)
+        wanted = token_quota.share_of(demand, total, count, size)
         return max(0.0, min(wanted, 1.0 - taken))
 
+    def _mean_size(self, customer):
+        sizes = [
+            grant.size_by_customer[customer]
+            for grant in self._grant_by_host.values()
+            if customer in grant.size_by_customer
+        ]
+        return sum(sizes) / len(sizes) if sizes else 0.0
+
     def _expire(self, now):
         oldest = now - GRANT_LIFETIME - _MARGIN
         self._grant_by_host = {
--- a/src/peridothitch/policy/token_quota.py
+++ b/src/peridothitch/policy/token_quota.py
@@ -11,10 +11,16 @@
 import dataclasses
 import math
 
-__all__ = ["CustomerMeter", "relaxed_limit", "share_of", "window_limit"]
+__all__ = [
+    "CustomerMeter",
+    "recorded_limit",
+    "relaxed_limit",
+    "share_of",
+    "window_limit",
+]
 
 _EVEN_PART = 0.15
-"""Part of a quota that all entry hosts share evenly; covers demand not yet seen."""
+"""Least part of a quota that entry hosts share evenly; covers demand not yet seen."""
 
 _USED_EXCESS = 0.5
 """Part of the permitted excess that is planned; the rest covers restarts and chance."""
@@ -31,6 +37,12 @@
 _RELAXED_FACTOR = 1.5
 """Multiple of its share that a host lets pass while a customer is not held back."""
 
+_RECORDED_FACTOR = 0.8
+"""Multiple of an even share that a host which has just started lets pass at once.
+
+Below 1, since the last request may exceed it by its whole size.
+"""
+
 _LOWEST_RATE = 1e-9
 _LEAST_AGE_SECONDS = 1.0
 """Less time says too little about the demand."""
@@ -45,16 +57,23 @@
 """Part of its share that a new process takes to be used by the one before it."""
 
 _ASSUMED_STEPS = 8
+_SIZE_WEIGHT = 0.1
+"""Of one request in the mean size; ten requests say enough."""
 
 
-def share_of(demand, total_demand, host_count):
+def share_of(demand, total_demand, host_count, mean_units=0.0):
     """Return the share of one entry host in a quota.
 
+    The fewer requests a host gets while its demand is averaged, the more of that is
+    chance, and the more evenly the quota is shared.
+
     Parameters
     ----------
     demand, total_demand : float
         Units a second asked for at this host and at all.
     host_count : int
+    mean_units : float
+        Mean size of a request.
 
     Returns
     -------
@@ -64,7 +83,11 @@
     even = 1.0 / max(1, host_count)
     if total_demand <= 0:
         return even
-    return (1 - _EVEN_PART) * min(1.0, demand / total_demand) + _EVEN_PART * even
+    requests = math.inf
+    if mean_units > 0:
+        requests = total_demand * _DEMAND_SECONDS / (host_count * mean_units)
+    even_part = max(_EVEN_PART, 1 / (1 + requests))
+    return (1 - even_part) * min(1.0, demand / total_demand) + even_part * even
 
 
 def relaxed_limit(total_demand, quota, whole, share, host_count):
@@ -93,6 +116,29 @@
     return _RELAXED_FACTOR * max(share, 1.0 / max(1, host_count)) * whole
 
 
+def recorded_limit(part, whole, share, host_count):
+    """Return what a host may let pass in a span before it has heard of the demand.
+
+    Parameters
+    ----------
+    part : float
+        Demand as a part of the quota's rate, as recorded a moment before.
+    whole : float
+        Units that the customer may use at all hosts in one span.
+    share : float
+        Of this host.
+    host_count : int
+
+    Returns
+    -------
+    float
+        0 if the customer asked for most of its quota.
+    """
+    if part >= _RELAXED_PART:
+        return 0.0
+    return _RECORDED_FACTOR * max(share, 1.0 / max(1, host_count)) * whole
+
+
 def window_limit(quota, promises):
     """Return the units that a customer may use at all hosts in one span.
 
@@ -134,6 +180,7 @@
         self._used = 0.0
         self._demand = 0.0
         self._demand_at = now
+        self._mean_units = 0.0
         self._began = now
         self.limit = limit
         self._pace = 0.0
@@ -167,7 +214,7 @@
             self._add(use)
         if self._assumed:
             free = 1 - self._assumed_part
-            self._pace = max(self._pace, free * _BURST_PART * self.limit)
+            self._pace = max(self._pace, min(free, _BURST_PART) * self.limit)
 
     def demand(self, now):
         """Return the units a second asked for, averaged."""
@@ -179,6 +226,11 @@
         passed = max(0.0, now - self._demand_at)
         return self._demand * math.exp(-passed / _DEMAND_SECONDS)
 
+    @property
+    def mean_units(self):
+        """Mean size of the last requests, 0 before the first one."""
+        return self._mean_units
+
     def used(self, now):
         """Return the units used in the last span."""
         self._forget(now)
@@ -198,6 +250,8 @@
         self._forget(now)
         self._demand = self._faded_demand(now) + units / _DEMAND_SECONDS
         self._demand_at = now
+        weight = _SIZE_WEIGHT if self._mean_units else 1.0
+        self._mean_units += weight * (units - self._mean_units)
         self._refill(now)
         if self._used < relaxed_limit:
             self._pace = max(0.0, self._pace - units)
@@ -205,7 +259,10 @@
             return True
         # A request that fits in part passes with that part's probability.
         part = units * self._random.random()
-        if part > self._pace or self._used + part > self.limit:
+        # A full pace lets a request of any size pass and is then owed the rest.
+        if min(part, _BURST_PART * self.limit) > self._pace:
+            return False
+        if self._used + part > self.limit:
             return False
         self._pace -= units
         self._add(_Use(now, units))
--- a/src/peridothitch/standins/metadata_store.py
+++ b/src/peridothitch/standins/metadata_store.py
@@ -68,6 +68,7 @@
         self._deadline_by_lease = {}
         self._ttl_by_lease = {}
         self._next_lease = 100
+        self._is_closed = False
         self.revision = 1
 
     def put(self, key, value):
@@ -92,6 +93,12 @@
             self._first_known = self.revision
             self._changed.notify_all()
 
+    def close(self):
+        """End all waits, so that a server before the store can stop."""
+        with self._changed:
+            self._is_closed = True
+            self._changed.notify_all()
+
     def get(self, key):
         """Return the fields of an item, or None."""
         with self._changed:
@@ -124,7 +131,7 @@
                     if event["revision"] > after and event["key"].startswith(prefix)
                 ]
                 left = deadline - time.monotonic()
-                if events or left <= 0:
+                if events or left <= 0 or self._is_closed:
                     return events, self.revision
                 self._changed.wait(min(left, _SWEEP_SECONDS))
 
--- a/src/peridothitch/standins/platform_duties.py
+++ b/src/peridothitch/standins/platform_duties.py
@@ -23,6 +23,8 @@
         Data centres that have no reclaimable hosts.
     lose_answers : int
         Number of next calls that are done and not answered.
+    shared_numbers : list of int
+        Fencing numbers that two holders used.
     """
 
     def __init__(self):
@@ -33,12 +35,17 @@
         self.orders = []
         self.sold_out = set()
         self.lose_answers = 0
+        self.shared_numbers = []
+        self._holder_by_number = {}
 
     def __call__(self, environ, start_response):
         """Answer one call."""
         body = json.loads(environ["wsgi.input"].read())
         number = int(environ["HTTP_PERIDOTHITCH_FENCING_TOKEN"])
+        holder = environ["HTTP_PERIDOTHITCH_LEASE_HOLDER"]
         with self._lock:
+            if self._holder_by_number.setdefault(number, holder) != holder:
+                self.shared_numbers.append(number)
             status, text = self._do(environ["PATH_INFO"], body, number)
             lost = self.lose_answers > 0
             self.lose_answers -= lost
--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -31,6 +31,8 @@
     body : bytes
     connection : int
         Number of the connection that it arrived on.
+    at : float
+        Monotonic seconds of its arrival.
     """
 
     method: str
@@ -38,6 +40,7 @@
     fields: tuple
     body: bytes
     connection: int
+    at: float = 0.0
 
     def value(self, name):
         """Return the value of a header, empty without it."""
@@ -317,4 +320,5 @@
     ]
     fields = tuple((name, value.strip()) for name, _, value in pairs)
     length = next((int(v) for n, v in fields if n.lower() == "content-length"), 0)
-    return ReceivedRequest(method, target, fields, reader.read(length), number)
+    body = reader.read(length)
+    return ReceivedRequest(method, target, fields, body, number, time.monotonic())
