Join a fleet faster after a start; a new holder goes on from the recorded load

For its first 6 s a host probes each 200 ms and compares all facts up to four times a probe. The fleet's record now tells the load, which a new holder lets fall with the usual half-life.

--- a/features/duties.feature
+++ b/features/duties.feature
@@ -23,6 +23,13 @@
     And the duties have just been taken
     Then nothing is reported before the hosts had time to report
 
+  Scenario: A new holder keeps the upstream hosts that the load needs
+    Given a fleet that keeps 24 upstream hosts busy in 6 data centres
+    When another host takes the duties and has heard of 4 busy hosts yet
+    Then it orders no fewer hosts than there were
+    When the load stays that low for 60 seconds
+    Then it orders fewer hosts
+
   Scenario: A mirror never goes back
     Given a mirror of a prefix
     When peers and the store tell it of changes in any order
--- a/features/fake_network.py
+++ b/features/fake_network.py
@@ -83,6 +83,11 @@
         self.bytes_by_address[address] = total + size + HEADER_BYTES
 
 
+def address_of(index):
+    """Return the address of a host by its number."""
+    return f"10.0.{index // 250}.{index % 250}:1"
+
+
 class FakeTransport(peer_transport.PeerTransport):
     """One host's end of a `Network`."""
 
@@ -141,7 +146,7 @@
         index = self.added
         self.added += 1
         host_id = host_id or f"entry-{index}"
-        transport = FakeTransport(self.network, f"10.0.{index // 250}.{index % 250}:1")
+        transport = FakeTransport(self.network, address_of(index))
         peer = peers.Peer(
             host_id=host_id,
             address=transport.address,
@@ -202,7 +207,7 @@
             if node.gossip.urgent.is_set():
                 node.gossip.urgent.clear()
                 node.membership.push()
-            if self.steps % 2 == node.phase:
+            if self.steps % 2 == node.phase or node.membership.is_joining:
                 node.membership.tick()
 
     def run(self, duration):
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -38,5 +38,15 @@
     Then all hosts agree on the members within 10 seconds
     And all hosts know the last address of "entry-3"
 
+  Scenario Outline: All hosts start at the same moment
+    Given <hosts> hosts start at the same moment with 3 seeds each
+    Then all hosts agree on the members within <seconds> seconds
+
+    Examples:
+      | hosts | seconds |
+      | 7     | 2       |
+      | 73    | 3       |
+      | 380   | 7       |
+
   Scenario: Any mix of faults heals
     Then after any mix of kills, freezes, splits and losses the hosts agree again
--- /dev/null
+++ b/features/steps/capacity_duty_steps.py
@@ -0,0 +1,131 @@
+"""Steps for the orders of upstream hosts."""
+
+import collections
+import datetime
+import types
+
+import behave
+import msgspec
+import quota_fleet
+import virtual_clock
+
+from peridothitch.adapters import metrics
+from peridothitch.coordination import lease
+from peridothitch.gateway.forwarding import capacity_duty, fleet_record
+from peridothitch.ports import duties, forwarding, store, upstream
+
+_SERVICE = "model"
+_HOSTS_EACH = 8
+_SECOND = datetime.timedelta(seconds=1)
+
+
+class _Platform(duties.PlatformDuties):
+    """Starts and ends hosts as ordered, at once."""
+
+    def __init__(self):
+        self.count_by_place = collections.Counter()
+        self.orders = []
+
+    def report_usage(self, report, fencing_number):
+        raise NotImplementedError
+
+    def order_capacity(self, order, fencing_number):
+        self.orders.append(order)
+        self.count_by_place[order.data_centre, order.reclaimable] = order.count
+        return duties.DutyAnswer(True)
+
+    def hosts(self):
+        """Return the hosts by id."""
+        host_by_id = {}
+        for (data_centre, reclaimable), count in self.count_by_place.items():
+            for number in range(count):
+                host_id = f"{data_centre}-{reclaimable}-{number}"
+                host_by_id[host_id] = upstream.Host(
+                    host_id=host_id,
+                    address="127.0.0.1:1",
+                    service=_SERVICE,
+                    version="v1",
+                    data_centre=data_centre,
+                    reclaimable=reclaimable,
+                    slots=12,
+                )
+        return host_by_id
+
+
+@behave.given(
+    "a fleet that keeps {busy:d} upstream hosts busy in {count:d} data centres"
+)
+def start(context, busy, count):
+    context.clock = virtual_clock.VirtualClock()
+    context.platform = _Platform()
+    data_centres = [f"dc-{number}" for number in range(count)]
+    for data_centre in data_centres:
+        context.platform.count_by_place[data_centre, True] = _HOSTS_EACH
+    service = forwarding.Service(
+        name=_SERVICE,
+        connection_limit=0,
+        engine=None,
+        scaling=forwarding.Scaling(
+            least=1,
+            most=30,
+            start_time=4 * _SECOND,
+            reclaimable_price=0.22,
+            price_by_data_centre={},
+        ),
+    )
+    record = fleet_record.FleetRecord(
+        host_count=73, busy_by_service={_SERVICE: float(busy)}
+    )
+    item = store.KeyValue(
+        key="fleet",
+        value=msgspec.json.encode(record),
+        create_revision=1,
+        mod_revision=1,
+        version=0,
+    )
+    context.busy = {}
+    context.duty = capacity_duty.CapacityDuty(
+        context.platform,
+        types.SimpleNamespace(permit=lambda: lease.Permit(7, datetime.timedelta.max)),
+        types.SimpleNamespace(busy_by_service=lambda: context.busy),
+        types.SimpleNamespace(
+            table=types.SimpleNamespace(service_by_name={_SERVICE: service}),
+            is_known=True,
+            hosts=context.platform.hosts,
+        ),
+        types.SimpleNamespace(items=lambda: {lease.PREFIX + "fleet": item}),
+        types.SimpleNamespace(
+            region_by_data_centre=dict.fromkeys(data_centres, "region"),
+            promises=quota_fleet.PROMISES,
+        ),
+        context.clock,
+        metrics.Metrics(),
+    )
+
+
+def _run(context, seconds):
+    for _ in range(seconds):
+        context.duty.step(lease.Permit(7, datetime.timedelta.max))
+        context.clock.advance(_SECOND)
+
+
+@behave.when("another host takes the duties and has heard of {busy:d} busy hosts yet")
+def take(context, busy):
+    context.busy = {_SERVICE: float(busy)}
+    _run(context, 2)
+
+
+@behave.then("it orders no fewer hosts than there were")
+def check_kept(context):
+    counts = [order.count for order in context.platform.orders if order.reclaimable]
+    assert min(counts) >= _HOSTS_EACH, counts
+
+
+@behave.when("the load stays that low for {seconds:d} seconds")
+def stay_low(context, seconds):
+    _run(context, seconds)
+
+
+@behave.then("it orders fewer hosts")
+def check_fewer(context):
+    assert context.platform.orders[-1].count < _HOSTS_EACH, context.platform.orders[-1]
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -80,6 +80,15 @@
     context.fake_fleet.run(20 * SECOND)
 
 
+@behave.given("{count:d} hosts start at the same moment with {seeds:d} seeds each")
+def start_at_once(context, count, seeds):
+    context.fake_fleet = fake_network.FakeFleet(0, context.seed)
+    fleet = context.fake_fleet
+    addresses = [fake_network.address_of(index) for index in range(count)]
+    for _ in range(count):
+        fleet.add(seeds=fleet.random.sample(addresses, seeds))
+
+
 @behave.then("each of 20 kills is noticed by all others within {seconds:d} seconds")
 def check_kills(context, seconds):
     fleet = context.fake_fleet
--- a/src/peridothitch/coordination/member_records.py
+++ b/src/peridothitch/coordination/member_records.py
@@ -62,6 +62,13 @@
         Least time between two comparisons of all facts.
     refresh_period : datetime.timedelta
         Between two renewals of this host's record.
+    join_time : datetime.timedelta
+        After its start a host learns the fleet at a faster pace for so long; when all
+        hosts start at the same moment, none can tell another more than it has learned.
+    join_period : datetime.timedelta
+        Between two probes in that time.
+    join_syncs : int
+        Comparisons of all facts for each of these probes, while the facts differ.
     """
 
     period: datetime.timedelta = datetime.timedelta(milliseconds=500)
@@ -72,6 +79,9 @@
     rejoin_period: datetime.timedelta = datetime.timedelta(seconds=5)
     sync_period: datetime.timedelta = datetime.timedelta(seconds=4)
     refresh_period: datetime.timedelta = datetime.timedelta(minutes=30)
+    join_time: datetime.timedelta = datetime.timedelta(seconds=6)
+    join_period: datetime.timedelta = datetime.timedelta(milliseconds=200)
+    join_syncs: int = 4
 
 
 def make_fact(host_id, incarnation, state, value):
--- a/src/peridothitch/coordination/membership.py
+++ b/src/peridothitch/coordination/membership.py
@@ -77,7 +77,7 @@
         self._leaving = False
         self._ticks = 0
         now = clock.monotonic()
-        self._last_tick = self._next_rejoin = self._next_sync = now
+        self._began = self._last_tick = self._next_rejoin = self._next_sync = now
         self._next_refresh = now + self._settings.refresh_period
         self._differs_from = None
         gossip.subscribe(records.MEMBER_KIND, self._take_record)
@@ -132,13 +132,22 @@
 
     def run(self, stop):
         """Probe until the event `stop` is set."""
-        while not self._clock.wait(stop, self._settings.period):
+        while not self._clock.wait(stop, self._period()):
             try:
                 self.tick()
             except Exception:
                 self._metrics.count("membership_failures")
                 _log.exception("membership tick failed")
 
+    @property
+    def is_joining(self):
+        """Whether this host has started so lately that it learns at a faster pace."""
+        return self._clock.monotonic() - self._began < self._settings.join_time
+
+    def _period(self):
+        settings = self._settings
+        return settings.join_period if self.is_joining else settings.period
+
     def tick(self):
         """Run one protocol period."""
         now = self._clock.monotonic()
@@ -152,8 +161,8 @@
         target = self._next_target()
         if target is not None:
             self._check(target)
-        if self._differs_from is not None and now >= self._next_sync:
-            self._sync(now)
+        if self._differs_from is not None:
+            self._compare(now)
         self._last_tick = now
 
     def push(self):
@@ -299,6 +308,14 @@
             raise errors.PeerError("no answer", sent=True)
         return b""
 
+    def _compare(self, now):
+        if self.is_joining:
+            for _ in range(self._settings.join_syncs):
+                if self._sync_with(self._differs_from):
+                    return
+        elif now >= self._next_sync:
+            self._sync(now)
+
     def _sync(self, now):
         jitter = self._random.uniform(0.5, 1.5)
         self._next_sync = now + self._settings.sync_period * jitter
--- a/src/peridothitch/gateway/forwarding/capacity_duty.py
+++ b/src/peridothitch/gateway/forwarding/capacity_duty.py
@@ -6,6 +6,7 @@
 import logbook
 
 from peridothitch import errors
+from peridothitch.gateway.forwarding import fleet_record
 from peridothitch.policy import capacity_plan
 from peridothitch.ports import upstream
 
@@ -33,16 +34,21 @@
     fenced_lease : peridothitch.coordination.lease.FencedLease
     reports : peridothitch.gateway.forwarding.fleet_reports.FleetReports
     catalogue : peridothitch.gateway.forwarding.catalogue.Catalogue
+    leases : peridothitch.coordination.mirror.Mirror
+        Holds the fleet's record, whose load counts until this one's is known.
     site : peridothitch.ports.site.Site
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
     """
 
-    def __init__(self, client, fenced_lease, reports, catalogue, site, clock, metrics):
+    def __init__(
+        self, client, fenced_lease, reports, catalogue, leases, site, clock, metrics
+    ):
         self._client = client
         self._lease = fenced_lease
         self._reports = reports
         self._catalogue = catalogue
+        self._leases = leases
         self._site = site
         self._clock = clock
         self._metrics = metrics
@@ -58,6 +64,7 @@
         if permit.fencing_number != self._fencing_number:
             self._fencing_number = permit.fencing_number
             self._due_by_order.clear()
+            self._take_record()
         table = self._catalogue.table
         if table is None or not self._catalogue.is_known:
             return
@@ -67,6 +74,16 @@
                 busy = busy_by_service.get(service.name, 0.0)
                 self._keep(service, self._steady(service.name, busy))
 
+    def _take_record(self):
+        """Go on from the load that the former holder saw.
+
+        A holder that has just taken over has not heard of all requests.
+        """
+        now = self._clock.monotonic()
+        recorded = fleet_record.read_record(self._leases).busy_by_service
+        for service, busy in recorded.items():
+            self._load_by_service[service] = self._steady(service, busy), now
+
     def _steady(self, service, busy):
         now = self._clock.monotonic()
         before, at = self._load_by_service.get(service, (0.0, now))
--- a/src/peridothitch/gateway/forwarding/duty_set.py
+++ b/src/peridothitch/gateway/forwarding/duty_set.py
@@ -82,6 +82,7 @@
                 parts.fenced_lease,
                 parts.reports,
                 parts.catalogue,
+                parts.leases,
                 site,
                 parts.clock,
                 parts.metrics,
--- a/src/peridothitch/gateway/forwarding/fleet_record.py
+++ b/src/peridothitch/gateway/forwarding/fleet_record.py
@@ -22,6 +22,12 @@
 _STEP = 0.2
 """Change of a part that is written; smaller ones would cost a write each second."""
 
+_LOAD_STEP = 0.25
+"""Change of a service's load, as a part of it, that is written."""
+
+_LEAST_LOAD = 1.0
+"""Smaller changes of a load need no other number of hosts."""
+
 _LEAST_AGE_SECONDS = 5.0
 """Time after which the demand of all hosts is known well enough to be recorded."""
 
@@ -38,10 +44,13 @@
         Entry hosts.
     part_by_customer : dict of str to float
         Demand as a part of the quota's rate, of customers that use much of it.
+    busy_by_service : dict of str to float
+        Upstream hosts kept busy.
     """
 
     host_count: int = 0
     part_by_customer: dict[str, float] = {}
+    busy_by_service: dict[str, float] = {}
 
 
 def read_record(leases):
@@ -90,6 +99,10 @@
         record = FleetRecord(
             host_count=max(view.host_count, known.host_count),
             part_by_customer=_parts(table, view.demand_by_customer),
+            busy_by_service={
+                service: round(busy, 1)
+                for service, busy in self._reports.busy_by_service().items()
+            },
         )
         if not _differs(record, known):
             return
@@ -118,9 +131,19 @@
     """Return whether a record is worth a write."""
     if record.host_count != known.host_count:
         return True
+    if _loads_differ(record.busy_by_service, known.busy_by_service):
+        return True
     names = record.part_by_customer.keys() | known.part_by_customer.keys()
     return any(
         abs(record.part_by_customer.get(n, 0.0) - known.part_by_customer.get(n, 0.0))
         >= _STEP
         for n in names
     )
+
+
+def _loads_differ(busy_by_service, known_by_service):
+    return any(
+        abs(busy_by_service.get(service, 0.0) - known_by_service.get(service, 0.0))
+        > max(_LEAST_LOAD, _LOAD_STEP * known_by_service.get(service, 0.0))
+        for service in busy_by_service.keys() | known_by_service.keys()
+    )
