--- a/features/forwarding_bench.py
+++ b/features/forwarding_bench.py
@@ -24,18 +24,7 @@
 REGIONS = {"lothian-a": "lothian", "fife-a": "fife"}
 WAIT_SECONDS = 20.0
 
-PROMISES = sites.Promises(
-    grace=datetime.timedelta(seconds=0.3),
-    retry_share=0.2,
-    retry_allowance=54.0,
-    quota_window=datetime.timedelta(seconds=8),
-    quota_excess_share=0.1,
-    quota_excess=0.0,
-    lease_time=datetime.timedelta(seconds=3),
-    orders_are_fenced=True,
-    usage_window=datetime.timedelta(seconds=5),
-    usage_delay=datetime.timedelta(seconds=10),
-)
+PROMISES = sites.Promises(grace=datetime.timedelta(seconds=0.3))
 
 ROUTES = (
     {
--- a/features/ordered_move_fleet.py
+++ b/features/ordered_move_fleet.py
@@ -105,7 +105,6 @@
                 streamed=False,
                 timeout=TIMEOUT,
                 objective=TIMEOUT,
-                gap_objective=None,
                 attempts=1,
                 priority=1,
                 anonymous=False,
--- a/features/quota_fleet.py
+++ b/features/quota_fleet.py
@@ -15,18 +15,7 @@
 SPAN_SECONDS = 8.0
 SETTLED_SECONDS = 3.0
 
-PROMISES = sites.Promises(
-    grace=datetime.timedelta(seconds=8),
-    retry_share=0.2,
-    retry_allowance=54.0,
-    quota_window=datetime.timedelta(seconds=SPAN_SECONDS),
-    quota_excess_share=0.1,
-    quota_excess=72_000.0,
-    lease_time=datetime.timedelta(seconds=3),
-    orders_are_fenced=True,
-    usage_window=datetime.timedelta(seconds=5),
-    usage_delay=datetime.timedelta(seconds=10),
-)
+PROMISES = sites.Promises(quota_excess=72_000.0)
 
 PERMITTED = (QUOTA.rate * SPAN_SECONDS + QUOTA.burst) * 1.1 + 72_000.0
 
--- a/features/steps/capacity_duty_steps.py
+++ b/features/steps/capacity_duty_steps.py
@@ -63,8 +63,6 @@
         context.platform.count_by_place[data_centre, True] = _HOSTS_EACH
     service = forwarding.Service(
         name=_SERVICE,
-        connection_limit=0,
-        engine=None,
         scaling=forwarding.Scaling(
             least=1,
             most=30,
--- a/src/peridothitch/cli/platform_trial.py
+++ b/src/peridothitch/cli/platform_trial.py
@@ -20,7 +20,6 @@
 _DATA_CENTRE = "lothian-a"
 _HOST_NAME = "trial.example"
 _SERVICE = "model"
-_SECOND = datetime.timedelta(seconds=1)
 _ROUTE = {
     "name": "trial",
     "host": _HOST_NAME,
@@ -33,18 +32,7 @@
     "target_latency_ms": 500,
     "target_gap_ms": 300,
 }
-_PROMISES = sites.Promises(
-    grace=3 * _SECOND,
-    retry_share=0.2,
-    retry_allowance=50.0,
-    quota_window=8 * _SECOND,
-    quota_excess_share=0.1,
-    quota_excess=0.0,
-    lease_time=3 * _SECOND,
-    orders_are_fenced=True,
-    usage_window=5 * _SECOND,
-    usage_delay=10 * _SECOND,
-)
+_PROMISES = sites.Promises(grace=datetime.timedelta(seconds=3))
 
 
 class PlatformTrial:
--- a/src/peridothitch/gateway/forwarding/attempt.py
+++ b/src/peridothitch/gateway/forwarding/attempt.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from peridothitch import errors
-from peridothitch.ports import forwarding, outcomes
+from peridothitch.ports import outcomes
 
 __all__ = ["Attempt", "AttemptParts"]
 
@@ -44,7 +44,6 @@
     ----------
     host : peridothitch.ports.upstream.Host
     answer : peridothitch.ports.raw.RawAnswer
-    marks : peridothitch.ports.forwarding.AnswerMarks
     sent : datetime.timedelta
         Monotonic time at which the request was sent.
     estimate : peridothitch.policy.placement.Estimate
@@ -60,7 +59,6 @@
         self.estimate = estimate
         self.sent = parts.clock.monotonic()
         self.answer = None
-        self.marks = forwarding.AnswerMarks()
         self._first_byte = None
         self._event_count = 0
 
--- a/src/peridothitch/gateway/forwarding/attempts.py
+++ b/src/peridothitch/gateway/forwarding/attempts.py
@@ -213,6 +213,10 @@
             "sent",
             id=job.request_id,
             host_id=host.host_id,
+            hosts=parts.book.revision,
+            load_age_ms=_milliseconds(attempt.estimate.load_age),
+            busy=attempt.estimate.busy,
+            cached_tokens=int(attempt.estimate.cached_tokens),
             expected_ms=int(attempt.estimate.seconds * 1000),
             attempt=self._sends,
             rules=job.table_version,
@@ -221,9 +225,8 @@
         answer = parts.transport.open(host, call, self._set_cancel)
         answer.set_deadline(job.deadline)
         attempt.answer = answer
-        attempt.marks = parts.dialect.read_answer(answer.fields)
-        if attempt.marks.load is not None:
-            parts.book.note_load(host, attempt.marks.load)
+        if answer.marks.load is not None:
+            parts.book.note_load(host, answer.marks.load)
 
     def _urgency(self):
         if not self._job.need.prompt_tokens:
@@ -250,7 +253,7 @@
 
     def _check(self, attempt):
         """Refuse answers that say that the request did not run or can't be trusted."""
-        marks, status = attempt.marks, attempt.answer.status
+        marks, status = attempt.answer.marks, attempt.answer.status
         if marks.not_executed or status == _MISDIRECTED:
             self._arrivals += 1
             self._drain(attempt.answer)
@@ -351,6 +354,10 @@
         return errors.RequestError(code, detail, ran, retry_after)
 
 
+def _milliseconds(seconds):
+    return None if seconds is None else int(seconds * 1000)
+
+
 def is_promise(status):
     """Return whether a status promises callers that a request has not run."""
     return status in _PROMISES
--- a/src/peridothitch/gateway/forwarding/entry.py
+++ b/src/peridothitch/gateway/forwarding/entry.py
@@ -356,7 +356,7 @@
         self._quotas.take_table(table)
 
     def _take_hosts(self, host_by_id):
-        self._book.update(host_by_id)
+        self._book.update(host_by_id, self.catalogue.hosts_revision)
         self._transport.keep(host_by_id.values())
 
     def _count_hosts(self):
--- a/src/peridothitch/gateway/forwarding/host_book.py
+++ b/src/peridothitch/gateway/forwarding/host_book.py
@@ -54,6 +54,11 @@
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
     random_source : random.Random or None
+
+    Attributes
+    ----------
+    revision : int
+        Store revision up to which changes of the hosts are known.
     """
 
     def __init__(self, site, clock, metrics, random_source=None):
@@ -64,10 +69,19 @@
         self._lock = threading.Lock()
         self._entry_by_id = {}
         self._work_by_service = {}
+        self.revision = 0
+
+    def update(self, host_by_id, revision=0):
+        """Take in the upstream hosts by id.
 
-    def update(self, host_by_id):
-        """Take in the upstream hosts by id."""
+        Parameters
+        ----------
+        host_by_id : dict of str to peridothitch.ports.upstream.Host
+        revision : int
+            Store revision up to which changes are in them.
+        """
         with self._lock:
+            self.revision = revision
             entry_by_id = {}
             for host_id, host in host_by_id.items():
                 entry = self._entry_by_id.get(host_id)
@@ -123,6 +137,7 @@
 
     def _state(self, entry, need, now):
         reported = waiting = 0
+        load_age = now - entry.load_at if entry.load is not None else None
         if entry.load is not None and now - entry.load_at < _REPORT_LIFE_SECONDS:
             reported = entry.load.running + entry.load.waiting
             waiting = entry.load.waiting
@@ -134,6 +149,7 @@
             reported=reported,
             reported_waiting=waiting,
             backlog_tokens=entry.backlog_tokens,
+            load_age=load_age,
             cached_tokens=entry.cache.cached_tokens(need.prompt_parts, now),
             slowness=self._slowness(entry, now) + _FAILURE_COST * entry.failure_rate,
         )
--- a/src/peridothitch/platform/directory.py
+++ b/src/peridothitch/platform/directory.py
@@ -45,7 +45,6 @@
     timeout_ms: float = 30_000.0
     # Time to the answer's first event, not to its end.
     target_latency_ms: float = 1000.0
-    target_gap_ms: float | None = None
     max_attempts: int = 1
     priority: int = 1
     anonymous: bool = False
@@ -54,11 +53,6 @@
     stream_resume: bool = False
 
 
-class _Engine(msgspec.Struct, frozen=True):
-    capacity: int
-    kv_capacity_tokens: int = 0
-
-
 class _Scaling(msgspec.Struct, frozen=True):
     # Both hold for each zone, not for the service.
     min_replicas: int
@@ -71,8 +65,6 @@
 
 class _Service(msgspec.Struct, frozen=True):
     name: str
-    max_connections: int = 0
-    engine: _Engine | None = None
     scaling: _Scaling | None = None
 
 
@@ -226,7 +218,6 @@
     shares = tuple(
         forwarding.Share(backend.service, backend.weight) for backend in route.backends
     )
-    gap = route.target_gap_ms
     return forwarding.Route(
         name=route.name,
         host=route.host.lower(),
@@ -236,7 +227,6 @@
         streamed=streamed,
         timeout=route.timeout_ms * _MILLISECOND,
         objective=route.target_latency_ms * _MILLISECOND,
-        gap_objective=None if gap is None else gap * _MILLISECOND,
         attempts=route.max_attempts,
         priority=route.priority,
         anonymous=route.anonymous,
@@ -245,14 +235,9 @@
 
 
 def _to_service(service):
-    engine, scaling = service.engine, service.scaling
+    scaling = service.scaling
     return forwarding.Service(
         name=service.name,
-        connection_limit=service.max_connections,
-        engine=engine
-        and forwarding.Engine(
-            slots=engine.capacity, memory_tokens=engine.kv_capacity_tokens
-        ),
         scaling=scaling
         and forwarding.Scaling(
             least=scaling.min_replicas,
--- a/src/peridothitch/policy/placement.py
+++ b/src/peridothitch/policy/placement.py
@@ -76,6 +76,8 @@
         Of this request's prompt.
     slowness : float
         How much longer answers lately took than was estimated.
+    load_age : float or None
+        Seconds since its last report, None before the first one.
     """
 
     host_id: str
@@ -87,6 +89,7 @@
     backlog_tokens: float = 0.0
     cached_tokens: float = 0.0
     slowness: float = 1.0
+    load_age: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,11 +103,19 @@
         Until the answer or its first event.
     cost : float
         Seconds, with what distance costs besides.
+    busy : int
+        Requests there by own counts or its last report.
+    cached_tokens : float
+    load_age : float or None
+        Seconds since its last report.
     """
 
     host_id: str
     seconds: float
     cost: float
+    busy: int = 0
+    cached_tokens: float = 0.0
+    load_age: float | None = None
 
 
 def estimate(need, state):
@@ -123,7 +134,14 @@
         work += _STEP_SECONDS * load
     seconds = travel + work * state.slowness
     cost = seconds + _DISTANCE_COST_BY_NEARNESS[state.nearness]
-    return Estimate(state.host_id, seconds, cost)
+    return Estimate(
+        state.host_id,
+        seconds,
+        cost,
+        max(state.in_flight, state.reported),
+        state.cached_tokens,
+        state.load_age,
+    )
 
 
 def choose(need, states, random_source):
--- a/src/peridothitch/ports/forwarding.py
+++ b/src/peridothitch/ports/forwarding.py
@@ -15,7 +15,6 @@
     "CallerLimits",
     "Customer",
     "Dialect",
-    "Engine",
     "Load",
     "Outbound",
     "Quota",
@@ -74,8 +73,6 @@
         Longest time to the end of the answer.
     objective : datetime.timedelta
         Time to the answer, or to a stream's first event, that callers are promised.
-    gap_objective : datetime.timedelta or None
-        Longest pause between events that callers are promised.
     attempts : int
         Most upstreams that may run one request.
     priority : int
@@ -94,29 +91,12 @@
     streamed: bool = False
     timeout: datetime.timedelta = 30 * _SECOND
     objective: datetime.timedelta = _SECOND
-    gap_objective: datetime.timedelta | None = None
     attempts: int = 1
     priority: int = 1
     anonymous: bool = False
     caches_prompts: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Engine:
-    """What the hosts of a model service can do.
-
-    Attributes
-    ----------
-    slots : int
-        Requests that a host generates for at the same time.
-    memory_tokens : int
-        Tokens that fit into a host's memory.
-    """
-
-    slots: int
-    memory_tokens: int
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Scaling:
     """Bounds and prices of the hosts that may be ordered for a service.
@@ -146,17 +126,11 @@
     Attributes
     ----------
     name : str
-    connection_limit : int
-        Connections that one host accepts from all entry hosts; 0 for no limit.
-    engine : Engine or None
-        None for plain services.
     scaling : Scaling or None
         None where no hosts can be ordered.
     """
 
     name: str
-    connection_limit: int = 0
-    engine: Engine | None = None
     scaling: Scaling | None = None
 
 
--- a/src/peridothitch/ports/raw.py
+++ b/src/peridothitch/ports/raw.py
@@ -127,6 +127,8 @@
     status : int
     reason : str
     fields : tuple of (str, str)
+    marks : peridothitch.ports.forwarding.AnswerMarks
+        What the fields say to entry hosts.
     length : int or None
         Bytes of the body, None if they are not known before its end.
     """
@@ -134,6 +136,7 @@
     status: int
     reason: str
     fields: tuple
+    marks: object
     length: int | None
 
     @abc.abstractmethod
--- a/src/peridothitch/ports/site.py
+++ b/src/peridothitch/ports/site.py
@@ -5,10 +5,12 @@
 
 __all__ = ["Promises", "Site"]
 
+_SECOND = datetime.timedelta(seconds=1)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Promises:
-    """Bounds that the operators rely on.
+    """Bounds that the operators rely on; by default those of the users' first sites.
 
     Attributes
     ----------
@@ -35,16 +37,16 @@
         Largest share of a service's requests that an unproved version may get.
     """
 
-    grace: datetime.timedelta
-    retry_share: float
-    retry_allowance: float
-    quota_window: datetime.timedelta
-    quota_excess_share: float
-    quota_excess: float
-    lease_time: datetime.timedelta
-    orders_are_fenced: bool
-    usage_window: datetime.timedelta
-    usage_delay: datetime.timedelta
+    grace: datetime.timedelta = 8 * _SECOND
+    retry_share: float = 0.2
+    retry_allowance: float = 54.0
+    quota_window: datetime.timedelta = 8 * _SECOND
+    quota_excess_share: float = 0.1
+    quota_excess: float = 0.0
+    lease_time: datetime.timedelta = 3 * _SECOND
+    orders_are_fenced: bool = True
+    usage_window: datetime.timedelta = 5 * _SECOND
+    usage_delay: datetime.timedelta = 10 * _SECOND
     exposed_share: float = 0.1
 
 
