--- a/features/forwarding_bench.py
+++ b/features/forwarding_bench.py
@@ -164,7 +164,7 @@
         """Write the operators' record."""
         return self.store.put("op/config", configuration(**options))
 
-    def start_host(self, host_id="edge-1", wait=True):
+    def start_host(self, host_id="edge-1", wait=True, promises=PROMISES):
         """Start an entry host; returns it once it is ready."""
         seeds = tuple(host.peers_address for host in self.hosts)
         site = sites.Site(
@@ -180,18 +180,24 @@
             duties_address=f"127.0.0.1:{self._duties_server.port}",
             reports_usage=True,
             orders_capacity=True,
-            promises=PROMISES,
+            promises=promises,
         )
         platform = forward.make_platform(site)
         self.store_by_host_id[host_id] = platform.store
         host = entry.ForwardingHost(site, platform, boot_clock.BootClock())
         host.start()
-        self._stack.callback(host.stop)
+        self._stack.callback(self.stop_host, host)
         self.hosts.append(host)
         if wait:
             wait_until(host.is_ready, f"{host_id} is ready")
         return host
 
+    def stop_host(self, host):
+        """Stop an entry host unless it was stopped before."""
+        if host in self.hosts:
+            self.hosts.remove(host)
+            host.stop()
+
     def close(self):
         """Stop everything."""
         self.store.close()
--- a/features/forwarding_faults.feature
+++ b/features/forwarding_faults.feature
@@ -105,6 +105,12 @@
     And the rules drop the route "/lookup/"
     Then the first entry host answers 404 to "/lookup/1"
 
+  Scenario: A host that stops answers all that it has passed on
+    Given an entry host with 5 seconds to stop
+    When 8 callers use their connections until the host has stopped
+    Then every request that ran was answered whole
+    And callers were told to connect elsewhere
+
   Scenario: A crash that follows a request again and again ends its repeats
     Given the request "/lookup/deadly" crashes each replica
     When callers get "/lookup/deadly" until it is suspended
--- a/features/steps/forwarding_faults_steps.py
+++ b/features/steps/forwarding_faults_steps.py
@@ -1,13 +1,22 @@
 """Steps for faults of upstreams, callers and the store."""
 
+import contextlib
+import datetime
+import itertools
 import json
+import threading
 import time
 
 import behave
 import forwarding_bench as benches
 
+from peridothitch.ports import site as sites
+
 _TRIES = 40
 _CRASHES = 4
+_USE_SECONDS = 0.3
+_BETWEEN_SECONDS = 0.002
+_RECONNECT_SECONDS = 0.05
 
 
 @behave.when('each replica\'s next behaviour is "{name}"')
@@ -270,3 +279,72 @@
 def check_others(context):
     answer = context.bench.request("/lookup/harmless", "GET")
     assert answer.status == 200, answer
+
+
+@behave.given("an entry host with {seconds:d} seconds to stop")
+def start_slow_host(context, seconds):
+    promises = sites.Promises(grace=datetime.timedelta(seconds=seconds))
+    context.host = context.bench.start_host("edge-stopping", promises=promises)
+
+
+@behave.when("{count:d} callers use their connections until the host has stopped")
+def use_until_stopped(context, count):
+    bench, host = context.bench, context.host
+    context.outcomes = []
+    stopped = threading.Event()
+
+    def use(number):
+        serial = itertools.count()
+        while not stopped.is_set():
+            try:
+                with contextlib.closing(bench.connect(host)) as sock:
+                    _use_connection(context, sock, number, serial)
+            except OSError:
+                # The port is closed, or the host closed an idle connection.
+                time.sleep(_RECONNECT_SECONDS)
+
+    threads = [threading.Thread(target=use, args=(n,)) for n in range(count)]
+    for thread in threads:
+        thread.start()
+    time.sleep(_USE_SECONDS)
+    bench.stop_host(host)
+    stopped.set()
+    for thread in threads:
+        thread.join()
+
+
+def _use_connection(context, sock, number, serial):
+    """Send requests until the host closes the connection."""
+    while True:
+        request_id = f"caller-{number}-{next(serial)}"
+        path, method = ("/lookup/1", "GET") if number % 2 else ("/charge/1", "POST")
+        answer = None
+        try:
+            context.bench.send(sock, path, method, request_id=request_id)
+            answer = benches.read_answer(sock, method)
+        finally:
+            context.outcomes.append((request_id, answer))
+        if answer.value("Connection").lower() == "close":
+            return
+        time.sleep(_BETWEEN_SECONDS)
+
+
+@behave.then("every request that ran was answered whole")
+def check_answered(context):
+    lost = [
+        request_id
+        for request_id, answer in context.outcomes
+        if context.bench.runs(request_id)
+        and not (answer is not None and answer.status == 200 and answer.complete)
+    ]
+    assert not lost, lost
+
+
+@behave.then("callers were told to connect elsewhere")
+def check_told(context):
+    told = [
+        answer
+        for _, answer in context.outcomes
+        if answer is not None and answer.value("Connection").lower() == "close"
+    ]
+    assert told
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,8 +1,10 @@
 """Entry hosts as processes that are signalled from outside."""
 
+import contextlib
 import http.client
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -42,6 +44,10 @@
 """Until the platform starts a process again that has ended."""
 
 _READY_TIMEOUT = 0.5
+_PORT_RANGE = 12_000, 32_000
+"""Below the ports that outgoing connections take."""
+
+_ports = random.SystemRandom()
 
 
 class EntryProcess:
@@ -177,5 +183,9 @@
 
 
 def _free_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
+    """Return a port that nothing listens on and no outgoing connection gets."""
+    while True:
+        port = _ports.randrange(*_PORT_RANGE)
+        with contextlib.suppress(OSError):
+            with socket.create_server(("127.0.0.1", port)):
+                return port
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -53,10 +53,11 @@
     for replica in found.replicas:
         runs.update(replica.ran)
     by_id = {attempt.request_id: attempt for attempt in attempts}
+    misbehaved = set().union(*(replica.misbehaved for replica in found.replicas))
     broken = []
     for attempt in attempts:
         broken += _check_attempt(attempt, runs[attempt.request_id])
-        if timed:
+        if timed and attempt.request_id not in misbehaved:
             broken += _check_planned(attempt, runs[attempt.request_id], struck)
     broken += [f"UNASKED {name} ran" for name in runs if not _is_known(name, by_id)]
     broken += _check_received(found, by_id)
--- a/src/peridothitch/gateway/forwarding/capacity_duty.py
+++ b/src/peridothitch/gateway/forwarding/capacity_duty.py
@@ -58,6 +58,7 @@
         self._reclaimable_by_service = {}
         self._last_loss_by_service = {}
         self._fencing_number = 0
+        self._has_load = False
 
     def step(self, permit):
         """Send the orders that are due."""
@@ -69,10 +70,13 @@
         if table is None or not self._catalogue.is_known:
             return
         busy_by_service = self._reports.busy_by_service()
-        for service in table.service_by_name.values():
-            if service.scaling is not None:
-                busy = busy_by_service.get(service.name, 0.0)
-                self._keep(service, self._steady(service.name, busy))
+        scaled = [s for s in table.service_by_name.values() if s.scaling is not None]
+        for service in scaled:
+            busy = busy_by_service.get(service.name, 0.0)
+            if not busy and not self._has_load:
+                busy = _expected_load(table) / len(scaled)
+            self._has_load |= bool(busy_by_service)
+            self._keep(service, self._steady(service.name, busy))
 
     def _take_record(self):
         """Go on from the load that the former holder saw.
@@ -81,6 +85,7 @@
         """
         now = self._clock.monotonic()
         recorded = fleet_record.read_record(self._leases).busy_by_service
+        self._has_load |= bool(recorded)
         for service, busy in recorded.items():
             self._load_by_service[service] = self._steady(service, busy), now
 
@@ -160,3 +165,12 @@
             accepted=answer.accepted,
             detail=answer.detail,
         )
+
+
+def _expected_load(table):
+    quota_by_name = {
+        customer.name: customer.quota
+        for customer in table.customer_by_key.values()
+        if customer.quota is not None
+    }
+    return capacity_plan.expected_load(quota_by_name.values())
--- a/src/peridothitch/policy/capacity_plan.py
+++ b/src/peridothitch/policy/capacity_plan.py
@@ -9,11 +9,13 @@
 import dataclasses
 import math
 
+from peridothitch.policy import placement
 from peridothitch.ports import duties
 
 __all__ = [
     "CapacityPlan",
     "Supply",
+    "expected_load",
     "hosts_needed",
     "next_orders",
     "plan",
@@ -29,6 +31,12 @@
 _FALL_HALF_LIFE_SECONDS = 12.0
 """Some start times of hosts; waves of load come back within it."""
 
+_EXPECTED_PART = 0.65
+"""Part of their quotas that customers ask for together on an ordinary day.
+
+Quotas are set with room: on the users' sites to 1.8 times the ordinary use.
+"""
+
 _LEAST_HOSTS = 3
 """Hosts in a data centre that hold a burst until more of them have started."""
 
@@ -82,6 +90,25 @@
     return max(load, before * fading)
 
 
+def expected_load(quotas):
+    """Return the upstream hosts that will be busy before any request has come.
+
+    Hosts take seconds to start, and a fleet that begins with too few of them answers
+    late for as long.
+
+    Parameters
+    ----------
+    quotas : iterable of peridothitch.ports.forwarding.Quota
+        Of all customers.
+
+    Returns
+    -------
+    float
+    """
+    tokens = sum(quota.rate for quota in quotas if quota.counts_tokens)
+    return _EXPECTED_PART * tokens / placement.TOKENS_PER_SECOND
+
+
 def hosts_needed(busy_hosts, target_use=_TARGET_USE):
     """Return the hosts that serve a load in time.
 
--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -65,6 +65,8 @@
     received : list of ReceivedRequest
     ran : list of str
         Ids of the requests that were run.
+    misbehaved : set of str
+        Ids of the requests that were not answered properly.
     cancelled : list of str
         Ids of the streams whose connection was closed by the other end.
     """
@@ -75,6 +77,7 @@
         self.event_gap_seconds = event_gap_seconds
         self.received = []
         self.ran = []
+        self.misbehaved = set()
         self.cancelled = []
         self._behaviours = collections.deque()
         self._default = "answer"
@@ -93,6 +96,12 @@
         if default is not None:
             self._default = default
 
+    def heal(self):
+        """Answer properly from now on."""
+        with self._lock:
+            self._behaviours.clear()
+            self._default = "answer"
+
     def start(self):
         """Accept connections in the background."""
         threading.Thread(target=self._accept, daemon=True).start()
@@ -134,6 +143,9 @@
                 with self._lock:
                     names = self._behaviours
                     name = names.popleft() if names else self._default
+                if name != "answer":
+                    request_id = request.value("Peridothitch-Attempt-Id")
+                    self.misbehaved.add(request_id)
                 if not getattr(self, f"do_{name}")(sock, request):
                     return
         except OSError:
