--- a/features/duties.feature
+++ b/features/duties.feature
@@ -30,6 +30,13 @@
     When the load stays that low for 60 seconds
     Then it orders fewer hosts
 
+  Scenario: A fleet that starts has hosts for what its customers usually ask for
+    Given a fleet of 6 data centres whose customers may use 4 million tokens a second
+    When nobody has asked for anything for 20 seconds
+    Then as many hosts as serve 2.4 million tokens a second are ordered
+    When requests keep 4 hosts busy for 90 seconds
+    Then it orders the fewest hosts
+
   Scenario: A mirror never goes back
     Given a mirror of a prefix
     When peers and the store tell it of changes in any order
--- a/features/steps/capacity_duty_steps.py
+++ b/features/steps/capacity_duty_steps.py
@@ -12,10 +12,14 @@
 from peridothitch.adapters import metrics
 from peridothitch.coordination import lease
 from peridothitch.gateway.forwarding import capacity_duty, fleet_record
+from peridothitch.policy import placement
 from peridothitch.ports import duties, forwarding, store, upstream
 
 _SERVICE = "model"
 _HOSTS_EACH = 8
+_CUSTOMERS = 16
+_LEAST_EACH = 3
+_TARGET_USE = 0.6
 _SECOND = datetime.timedelta(seconds=1)
 
 
@@ -56,11 +60,31 @@
     "a fleet that keeps {busy:d} upstream hosts busy in {count:d} data centres"
 )
 def start(context, busy, count):
+    start_with(context, count, {_SERVICE: float(busy)}, _HOSTS_EACH, {})
+
+
+@behave.given(
+    "a fleet of {count:d} data centres whose customers may use {millions:d} million "
+    "tokens a second"
+)
+def start_unused(context, count, millions):
+    quota = forwarding.Quota(
+        rate=millions * 1e6 / _CUSTOMERS, burst=0.0, counts_tokens=True
+    )
+    customer_by_key = {
+        f"key-{number}": forwarding.Customer(name=f"customer-{number}", quota=quota)
+        for number in range(_CUSTOMERS)
+    }
+    start_with(context, count, {}, 1, customer_by_key)
+
+
+def start_with(context, count, busy_by_service, hosts_each, customer_by_key):
+    """Make the duty of a holder that has just taken over."""
     context.clock = virtual_clock.VirtualClock()
     context.platform = _Platform()
     data_centres = [f"dc-{number}" for number in range(count)]
     for data_centre in data_centres:
-        context.platform.count_by_place[data_centre, True] = _HOSTS_EACH
+        context.platform.count_by_place[data_centre, True] = hosts_each
     service = forwarding.Service(
         name=_SERVICE,
         scaling=forwarding.Scaling(
@@ -71,9 +95,7 @@
             price_by_data_centre={},
         ),
     )
-    record = fleet_record.FleetRecord(
-        host_count=73, busy_by_service={_SERVICE: float(busy)}
-    )
+    record = fleet_record.FleetRecord(host_count=73, busy_by_service=busy_by_service)
     item = store.KeyValue(
         key="fleet",
         value=msgspec.json.encode(record),
@@ -87,7 +109,9 @@
         types.SimpleNamespace(permit=lambda: lease.Permit(7, datetime.timedelta.max)),
         types.SimpleNamespace(busy_by_service=lambda: context.busy),
         types.SimpleNamespace(
-            table=types.SimpleNamespace(service_by_name={_SERVICE: service}),
+            table=types.SimpleNamespace(
+                service_by_name={_SERVICE: service}, customer_by_key=customer_by_key
+            ),
             is_known=True,
             hosts=context.platform.hosts,
         ),
@@ -127,3 +151,27 @@
 @behave.then("it orders fewer hosts")
 def check_fewer(context):
     assert context.platform.orders[-1].count < _HOSTS_EACH, context.platform.orders[-1]
+
+
+@behave.when("nobody has asked for anything for {seconds:d} seconds")
+def wait_idle(context, seconds):
+    _run(context, seconds)
+
+
+@behave.then("as many hosts as serve {millions:g} million tokens a second are ordered")
+def check_expected(context, millions):
+    counts = context.platform.count_by_place
+    needed = millions * 1e6 / placement.TOKENS_PER_SECOND / _TARGET_USE
+    assert sum(counts.values()) >= needed, counts
+
+
+@behave.when("requests keep {busy:d} hosts busy for {seconds:d} seconds")
+def keep_busy(context, busy, seconds):
+    context.busy = {_SERVICE: float(busy)}
+    _run(context, seconds)
+
+
+@behave.then("it orders the fewest hosts")
+def check_fewest(context):
+    last = context.platform.orders[-1]
+    assert last.count == _LEAST_EACH, last
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import pathlib
 import sys
 
 import click
@@ -9,17 +10,25 @@
 from soak import run
 
 
+def _regressions():
+    path = pathlib.Path(__file__).with_name("regressions.txt")
+    lines = path.read_text(encoding="utf-8").splitlines()
+    return [int(line.split()[0]) for line in lines if not line.startswith("#")]
+
+
 @click.command()
 @click.option("--seed", "first", type=int, default=1, show_default=True)
 @click.option("--count", type=click.IntRange(1), default=1, show_default=True)
 @click.option("--seconds", type=float, default=15.0, show_default=True)
 @click.option("--hosts", type=click.IntRange(1, 60), default=5, show_default=True)
 @click.option("--callers", type=click.IntRange(1, 200), default=10, show_default=True)
+@click.option("--regressions", is_flag=True, help="Play the seeds that once failed.")
 @click.option("--keep", is_flag=True, help="Keep logs though nothing was broken.")
-def main(first, count, seconds, hosts, callers, keep):
+def main(first, count, seconds, hosts, callers, regressions, keep):
     """Play COUNT seeds from FIRST on and print a JSON line for each."""
     failed = 0
-    for seed in range(first, first + count):
+    seeds = _regressions() if regressions else range(first, first + count)
+    for seed in seeds:
         report = run.run(seed, seconds, hosts, callers, keep)
         failed += bool(report.broken)
         click.echo(json.dumps(dataclasses.asdict(report)))
--- a/src/peridothitch/coordination/member_records.py
+++ b/src/peridothitch/coordination/member_records.py
@@ -13,6 +13,7 @@
     "MemberRecord",
     "MembershipSettings",
     "State",
+    "is_alive",
     "make_fact",
     "split_sequence",
 ]
@@ -83,6 +84,10 @@
     join_period: datetime.timedelta = datetime.timedelta(milliseconds=200)
     join_syncs: int = 4
 
+    def pace(self, is_joining):
+        """Return the time between two probes."""
+        return self.join_period if is_joining else self.period
+
 
 def make_fact(host_id, incarnation, state, value):
     """Return the fact that a member is in a state at an incarnation."""
@@ -90,6 +95,11 @@
     return facts.Fact(MEMBER_KIND, host_id, sequence, value)
 
 
+def is_alive(wire_fact):
+    """Return whether a fact from another host says that a member is alive."""
+    return split_sequence(wire_fact.sequence)[1] is State.ALIVE
+
+
 def split_sequence(sequence):
     """Return incarnation and `State` of a record's sequence."""
     incarnation, number = divmod(sequence, _STATE_COUNT)
--- a/src/peridothitch/coordination/membership.py
+++ b/src/peridothitch/coordination/membership.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from peridothitch import errors
+from peridothitch.coordination import addresses, relays
 from peridothitch.coordination import gossip as gossips
 from peridothitch.coordination import member_records as records
-from peridothitch.coordination import relays
 from peridothitch.ports import peer_transport, peers
 
 __all__ = ["Membership"]
@@ -71,8 +71,7 @@
         self._lock = threading.RLock()
         self._peer_by_id = {peer.host_id: peer}
         self._deadline_by_suspect = {}
-        self._address_by_departed = {}
-        self._learned_by_source = {"seeds": frozenset(seeds)}
+        self._addresses = addresses.AddressBook(seeds)
         self._incarnation = int(clock.now().timestamp())
         self._leaving = False
         self._ticks = 0
@@ -103,17 +102,16 @@
             raise errors.PeerError(f"{host_id} is not a member", sent=False)
         return self._transport.call(peer.address, method, payload, timeout)
 
-    def learn(self, source, addresses):
+    def learn(self, source, found):
         """Replace the addresses that a source knows hosts to be reached at.
 
         Parameters
         ----------
         source : str
             Such as the store or the platform's host list.
-        addresses : iterable of str
+        found : iterable of str
         """
-        with self._lock:
-            self._learned_by_source[source] = frozenset(addresses)
+        self._addresses.learn(source, found)
 
     def is_relay(self):
         """Return whether this host watches the store for its data centre."""
@@ -132,7 +130,7 @@
 
     def run(self, stop):
         """Probe until the event `stop` is set."""
-        while not self._clock.wait(stop, self._period()):
+        while not self._clock.wait(stop, self._settings.pace(self.is_joining)):
             try:
                 self.tick()
             except Exception:
@@ -144,10 +142,6 @@
         """Whether this host has started so lately that it learns at a faster pace."""
         return self._clock.monotonic() - self._began < self._settings.join_time
 
-    def _period(self):
-        settings = self._settings
-        return settings.join_period if self.is_joining else settings.period
-
     def tick(self):
         """Run one protocol period."""
         now = self._clock.monotonic()
@@ -202,8 +196,7 @@
             known = self._gossip.facts(records.MEMBER_KIND)
             for host_id in set(self._peer_by_id) - set(known) - {self.host_id}:
                 del self._peer_by_id[host_id]
-            for host_id in set(self._address_by_departed) - set(known):
-                del self._address_by_departed[host_id]
+        self._addresses.keep_departed(known)
         self._publish_self(records.State.ALIVE)
 
     def _rejoin(self, now):
@@ -211,9 +204,7 @@
         self._next_rejoin = now + self._settings.rejoin_period * jitter
         with self._lock:
             live = {peer.address for peer in self._peer_by_id.values()}
-            unknown = set(self._address_by_departed.values())
-            unknown.update(*self._learned_by_source.values())
-        candidates = sorted(unknown - live)
+        candidates = self._addresses.candidates(live)
         if not candidates:
             return
         address = self._random.choice(candidates)
@@ -269,7 +260,7 @@
     def _exchange_with(self, address, host_id=None, fresh=False):
         first = [self._gossip.to_wire(records.MEMBER_KIND, self.host_id)]
         about = self._gossip.to_wire(records.MEMBER_KIND, host_id) if host_id else None
-        if about is not None and not _is_alive(about):
+        if about is not None and not records.is_alive(about):
             first.append(about)
         size = len(self._peer_by_id)
         payload = self._gossip.make_exchange(size, first, self.host_id)
@@ -288,7 +279,7 @@
         _, sender = self._gossip.merge_exchange(payload)
         first = []
         about = self._gossip.to_wire(records.MEMBER_KIND, sender)
-        if about is not None and not _is_alive(about):
+        if about is not None and not records.is_alive(about):
             first.append(about)
         return self._gossip.make_exchange(len(self._peer_by_id), first)
 
@@ -375,10 +366,10 @@
                     address=record.address,
                     data_centre=record.data_centre,
                 )
-                self._address_by_departed.pop(fact.key, None)
+                self._addresses.note_live(fact.key)
             else:
                 self._peer_by_id.pop(fact.key, None)
-                self._address_by_departed[fact.key] = record.address
+                self._addresses.note_departed(fact.key, record.address)
             if state is records.State.SUSPECT:
                 deadline = self._clock.monotonic() + self._suspicion()
                 self._deadline_by_suspect.setdefault(fact.key, deadline)
@@ -404,7 +395,3 @@
             self._incarnation = incarnation + 1
         self._metrics.count("refutations")
         self._publish_self(records.State.ALIVE)
-
-
-def _is_alive(wire_fact):
-    return records.split_sequence(wire_fact.sequence)[1] is records.State.ALIVE
