--- a/features/duties.feature
+++ b/features/duties.feature
@@ -30,6 +30,16 @@
     When the load stays that low for 60 seconds
     Then it orders fewer hosts
 
+  Scenario Outline: The fleet's record is kept until more is known
+    Given the record of a fleet that keeps 24 upstream hosts busy
+    When a holder that has known the fleet for <age> seconds sees 4 busy hosts
+    Then the record tells of <busy> busy hosts
+
+    Examples:
+      | age | busy |
+      | 2   | 24   |
+      | 6   | 4    |
+
   Scenario: A fleet that starts has hosts for what its customers usually ask for
     Given a fleet of 6 data centres whose customers may use 4 million tokens a second
     When nobody has asked for anything for 20 seconds
