--- a/features/forwarding_bench.py
+++ b/features/forwarding_bench.py
@@ -137,6 +137,7 @@
         self._duties_server = self._serve(self.duties_service)
         self.replica_by_id = {}
         self.hosts = []
+        self._stopped = set()
         self.store_by_host_id = {}
         self.requests = 0
 
@@ -194,8 +195,8 @@
 
     def stop_host(self, host):
         """Stop an entry host unless it was stopped before."""
-        if host in self.hosts:
-            self.hosts.remove(host)
+        if host not in self._stopped:
+            self._stopped.add(host)
             host.stop()
 
     def close(self):
