Stand-ins run no request that was cut off

A link that was reset in the middle of a head left the stand-in of a replica with a part of it, which it took for whole; the same with a short body.

--- a/features/forwarding_faults.feature
+++ b/features/forwarding_faults.feature
@@ -111,6 +111,15 @@
     Then every request that ran was answered whole
     And callers were told to connect elsewhere
 
+  Scenario Outline: A replica does not run a request that was cut off
+    When a request to a replica is cut off in its <part>
+    Then the replica has run nothing
+
+    Examples:
+      | part |
+      | head |
+      | body |
+
   Scenario: A crash that follows a request again and again ends its repeats
     Given the request "/lookup/deadly" crashes each replica
     When callers get "/lookup/deadly" until it is suspended
--- a/features/steps/forwarding_faults_steps.py
+++ b/features/steps/forwarding_faults_steps.py
@@ -4,6 +4,7 @@
 import datetime
 import itertools
 import json
+import socket
 import threading
 import time
 
@@ -348,3 +349,23 @@
         if answer is not None and answer.value("Connection").lower() == "close"
     ]
     assert told
+
+
+@behave.when("a request to a replica is cut off in its {part}")
+def cut_request(context, part):
+    found = context.bench.replica_by_id["till-a"]
+    context.faulty = found
+    host, _, port = found.address.rpartition(":")
+    head = b"POST /charge/1 HTTP/1.1\r\nContent-Length: 10\r\n"
+    sent = head if part == "head" else head + b"\r\n12345"
+    with socket.create_connection((host, int(port)), 5) as sock:
+        sock.sendall(sent)
+        sock.shutdown(socket.SHUT_WR)
+        # The replica closes its end once it has dealt with what it got.
+        assert sock.recv(1) == b""
+
+
+@behave.then("the replica has run nothing")
+def check_none_ran(context):
+    assert not context.faulty.ran
+    assert not context.faulty.received
--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -320,11 +320,13 @@
 
 def _read_request(reader, number):
     line = reader.readline()
-    if not line.strip():
+    if not line.strip() or not line.endswith(b"\n"):
         return None
     method, target, _ = line.decode("latin-1").split(" ", 2)
     raw = bytearray()
-    while (field := reader.readline()) not in (b"\r\n", b""):
+    while (field := reader.readline()) != b"\r\n":
+        if not field.endswith(b"\n"):
+            return None
         raw += field
     pairs = [
         entry.partition(":")
@@ -333,4 +335,6 @@
     fields = tuple((name, value.strip()) for name, _, value in pairs)
     length = next((int(v) for n, v in fields if n.lower() == "content-length"), 0)
     body = reader.read(length)
+    if len(body) < length:
+        return None
     return ReceivedRequest(method, target, fields, body, number, time.monotonic())
