A host that stops begins late streams only if their longest answer ends in time

A stream that came 3.4 s after SIGTERM was taken by its caller's estimate of the length, which is often far off, and was cut off at the end, 3.6 s later. From 2.5 s on, when the balancer sends callers elsewhere, the most tokens that it may make decide; it is refused at once and comes back at another host.

Ruled out: the earlier end of a stop (86 in 100 of the grace, after five sixths as the platform allows); such a stream would have been cut off at 94 in 100, too.

--- a/features/forwarding_decisions.feature
+++ b/features/forwarding_decisions.feature
@@ -53,6 +53,18 @@
       | 80    | 2        |
       | 80    | 8        |
 
+  Scenario Outline: A host that stops begins what will end in time
+    When a stream of about <expected> and at most <most> tokens comes <after> seconds after a stop with 6.9 seconds
+    Then the late stream is <decision>
+
+    Examples:
+      | expected | most | after | decision |
+      | 150      | 900  | 0.5   | begun    |
+      | 900      | 900  | 0.5   | refused  |
+      | 120      | 900  | 3.4   | refused  |
+      | 120      | 150  | 3.4   | begun    |
+      | 0        | 0    | 5.0   | begun    |
+
   Scenario: The longest prefix is found
     Then for all routes and paths the route with the longest prefix is found
 
--- a/src/peridothitch/gateway/forwarding/front.py
+++ b/src/peridothitch/gateway/forwarding/front.py
@@ -46,10 +46,12 @@
         self._changed = threading.Condition()
         self._active = 0
         self._last_arrival = parts.clock.monotonic()
+        self._draining_since = None
         self._ends_at = None
 
     def drain(self, ends_at):
         """Refuse requests that would not end before a monotonic time."""
+        self._draining_since = self._parts.clock.monotonic()
         self._ends_at = ends_at
 
     @property
@@ -196,8 +198,13 @@
     def _check_drain(self, job, now):
         if self._ends_at is None:
             return
-        output = job.marks.expected_tokens or job.marks.output_tokens
-        if admission.fits_into(self._ends_at - now, job.route.objective, output):
+        if admission.fits_into(
+            self._ends_at - now,
+            job.route.objective,
+            job.marks.expected_tokens,
+            job.marks.output_tokens,
+            now - self._draining_since,
+        ):
             return
         raise errors.RequestError(
             errors.Code.DRAINING,
--- a/src/peridothitch/policy/admission.py
+++ b/src/peridothitch/policy/admission.py
@@ -17,12 +17,18 @@
 _LONGEST_RETRY = datetime.timedelta(seconds=2)
 
 
+_NOTICED_TIME = datetime.timedelta(seconds=2.5)
+"""From a stop until the balancer, which asks once a second, sends callers elsewhere."""
+
 _SECONDS_PER_TOKEN = 0.015
 """Time between two tokens of a stream at a busy upstream."""
 
 
-def fits_into(time_left, objective, output_tokens):
-    """Return whether a request likely ends within the time left.
+def fits_into(time_left, objective, expected_tokens, most_tokens, since_stop):
+    """Return whether a request may be begun by an entry host that ends.
+
+    At first nearly all requests still come here, and the expected length of an answer
+    decides. Later ones can as well go elsewhere: they have to end in time for certain.
 
     Parameters
     ----------
@@ -30,9 +36,15 @@
         Until the entry host ends.
     objective : datetime.timedelta
         Time to the answer or its first event.
-    output_tokens : int
-        Expected length of a stream's answer, 0 for others.
+    expected_tokens, most_tokens : int
+        Length of a stream's answer by the caller's estimate, which is often far off,
+        and at most; 0 for others.
+    since_stop : datetime.timedelta
+        Since the entry host was told to stop.
     """
+    output_tokens = expected_tokens or most_tokens
+    if since_stop >= _NOTICED_TIME:
+        output_tokens = max(expected_tokens, most_tokens)
     generation = datetime.timedelta(seconds=_SECONDS_PER_TOKEN * output_tokens)
     return objective * 2 + generation <= time_left
 
