--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,7 +13,8 @@
 def _regressions():
     path = pathlib.Path(__file__).with_name("regressions.txt")
     lines = path.read_text(encoding="utf-8").splitlines()
-    return [int(line.split()[0]) for line in lines if not line.startswith("#")]
+    rows = [line.split(maxsplit=2) for line in lines if not line.startswith("#")]
+    return [(int(seed), float(seconds)) for seed, seconds, _ in rows]
 
 
 @click.command()
@@ -27,9 +28,9 @@
 def main(first, count, seconds, hosts, callers, regressions, keep):
     """Play COUNT seeds from FIRST on and print a JSON line for each."""
     failed = 0
-    seeds = _regressions() if regressions else range(first, first + count)
-    for seed in seeds:
-        report = run.run(seed, seconds, hosts, callers, keep)
+    cases = [(seed, seconds) for seed in range(first, first + count)]
+    for seed, length in _regressions() if regressions else cases:
+        report = run.run(seed, length, hosts, callers, keep)
         failed += bool(report.broken)
         click.echo(json.dumps(dataclasses.asdict(report)))
     sys.exit(1 if failed else 0)
