--- a/features/steps/forwarding_decisions_steps.py
+++ b/features/steps/forwarding_decisions_steps.py
@@ -386,18 +386,3 @@
 def check_without(context):
     late = sum(wait > 2.6 * _OBJECTIVE for wait in context.all_waits)
     assert late > 0.9 * len(context.all_waits)
-
-
-@behave.when(
-    "a stream of about {expected:d} and at most {most:d} tokens comes {after:g} seconds"
-    " after a stop with {length:g} seconds"
-)
-def come_late(context, expected, most, after, length):
-    context.is_begun = admission.fits_into(
-        (length - after) * _SECOND, 0.5 * _SECOND, expected, most, after * _SECOND
-    )
-
-
-@behave.then("the late stream is {decision}")
-def check_begun(context, decision):
-    assert context.is_begun == (decision == "begun")
--- /dev/null
+++ b/features/steps/late_streams_steps.py
@@ -0,0 +1,25 @@
+"""Steps for streams that come to a host that stops."""
+
+import datetime
+
+import behave
+
+from peridothitch.policy import admission
+
+_SECOND = datetime.timedelta(seconds=1)
+_OBJECTIVE = 0.5 * _SECOND
+
+
+@behave.when(
+    "a stream of about {expected:d} and at most {most:d} tokens comes {after:g} seconds"
+    " after a stop with {length:g} seconds"
+)
+def come_late(context, expected, most, after, length):
+    context.is_begun = admission.fits_into(
+        (length - after) * _SECOND, _OBJECTIVE, expected, most, after * _SECOND
+    )
+
+
+@behave.then("the late stream is {decision}")
+def check_begun(context, decision):
+    assert context.is_begun == (decision == "begun")
