Count each failed attempt once in the comparison of versions

Cause: an attempt that may have run was reported where it was given up and again where its break was learned from, so that failures of both versions weighed twice in the sequential test. The break is the one place now; a connection that was refused is reported where it is counted. The scenarios fail before the change for reset, garbage and a repeated lookup.

--- a/features/forwarding_faults.feature
+++ b/features/forwarding_faults.feature
@@ -120,6 +120,22 @@
       | head |
       | body |
 
+  Scenario Outline: Each attempt counts once for the comparison of versions
+    Given the outcomes of attempts are compared
+    When each replica's next behaviour is "<fault>"
+    And a caller posts to "<path>"
+    Then <count> outcomes are compared
+
+    Examples:
+      | fault   | path       | count |
+      | answer  | /charge/1  | 1     |
+      | reset   | /charge/1  | 1     |
+      | cut     | /charge/1  | 1     |
+      | garbage | /charge/1  | 1     |
+      | fail    | /charge/1  | 1     |
+      | refuse  | /charge/1  | 0     |
+      | reset   | /lookup/1  | 2     |
+
   Scenario: A crash that follows a request again and again ends its repeats
     Given the request "/lookup/deadly" crashes each replica
     When callers get "/lookup/deadly" until it is suspended
--- a/features/steps/forwarding_faults_steps.py
+++ b/features/steps/forwarding_faults_steps.py
@@ -369,3 +369,16 @@
 def check_none_ran(context):
     assert not context.faulty.ran
     assert not context.faulty.received
+
+
+@behave.given("the outcomes of attempts are compared")
+def compare_outcomes(context):
+    context.compared = []
+    moves = context.host._moves
+    moves.is_watched = lambda service: True
+    moves.observe = context.compared.append
+
+
+@behave.then("{count:d} outcomes are compared")
+def check_compared(context, count):
+    assert len(context.compared) == count, context.compared
--- a/src/peridothitch/gateway/forwarding/attempts.py
+++ b/src/peridothitch/gateway/forwarding/attempts.py
@@ -106,7 +106,6 @@
                 self._check(attempt)
             except errors.UpstreamError as error:
                 attempt.end()
-                self._report(attempt, error)
                 self._note_failure(attempt, error)
                 continue
             except BaseException:
@@ -119,12 +118,6 @@
                 continue
             return attempt
 
-    def _report(self, attempt, error):
-        # A refusal tells of an upstream's load, not of its version.
-        is_refusal = error.ran is errors.Ran.NO and attempt.answer is not None
-        if not is_refusal and not self._is_cancelled:
-            attempt.fail(error)
-
     def may_go_on(self, error):
         """Return whether a stream that broke off may go on elsewhere."""
         return (
@@ -282,10 +275,13 @@
         job, host = self._job, attempt.host
         self._last_error = error
         if error.ran is errors.Ran.NO:
+            # A refusal tells of an upstream's load, not of its version.
             if attempt.answer is None:
                 self._sends -= 1
                 self._connect_failures += 1
                 self._parts.book.note_break(host, "connect")
+                if not self._is_cancelled:
+                    attempt.fail(error)
         else:
             self._runs += 1
             self._arrivals += 1
