One exchange of evidence for both kinds of moves

MoveKeeper and VersionMoves each published evidence, weighed it and learned condemnations; gateway/move_evidence does it for both. The gauges and counters of the platform's moves get the label of the move, as those of the other kind have. The routes of a service are found in one place, and a move's record is decoded once a revision: each request of a service with an order had decoded it.

--- a/src/peridothitch/gateway/forwarding/move_duty.py
+++ b/src/peridothitch/gateway/forwarding/move_duty.py
@@ -149,12 +149,7 @@
         return now >= record.decided_at + self._longest_request(record.service)
 
     def _longest_request(self, service):
-        table = self._catalogue.table
-        timeouts = [
-            route.timeout
-            for route in (table.routes if table is not None else ())
-            if any(share.service == service for share in route.shares)
-        ]
+        timeouts = [route.timeout for route in self._moves.routes(service)]
         return max(timeouts, default=datetime.timedelta(0))
 
     def _log(self, kept):
--- a/src/peridothitch/gateway/forwarding/move_records.py
+++ b/src/peridothitch/gateway/forwarding/move_records.py
@@ -51,18 +51,29 @@
         self._store = service
         self._leases = leases
         self._names = names
+        self._decoded_by_key = {}
 
     def find(self, order):
         """Return the `KeptMove` of an `OrderedMove`, None if it was not begun."""
         item = self._leases.items().get(_PREFIX + order.service)
         if item is None:
             return None
+        kept = self._decode(item)
+        is_of_order = kept is not None and kept.order_revision == order.revision
+        return kept if is_of_order else None
+
+    def _decode(self, item):
+        # Every request of a service that has an order asks for its record.
+        revision, kept = self._decoded_by_key.get(item.key, (0, None))
+        if revision == item.mod_revision:
+            return kept
         try:
             kept = msgspec.json.decode(item.value, type=KeptMove)
         except msgspec.MsgspecError as error:
             _log.error("move record can't be read", key=item.key, reason=str(error))
-            return None
-        return kept if kept.order_revision == order.revision else None
+            kept = None
+        self._decoded_by_key[item.key] = item.mod_revision, kept
+        return kept
 
     def write(self, order, kept):
         """Write a record if it is still as this host knows it.
--- a/src/peridothitch/gateway/forwarding/version_moves.py
+++ b/src/peridothitch/gateway/forwarding/version_moves.py
@@ -10,11 +10,10 @@
 import threading
 
 import logbook
-import msgspec
 
-from peridothitch.gateway import active_move
+from peridothitch.gateway import active_move, move_evidence
 from peridothitch.policy import moves
-from peridothitch.ports import facts, upstream
+from peridothitch.ports import upstream
 
 __all__ = ["VersionMoves"]
 
@@ -22,8 +21,6 @@
 _QUIET_PERIOD = datetime.timedelta(seconds=2)
 """Between two messages about versions that fare well."""
 
-_EVIDENCE = "move-evidence"
-_CONDEMNED = "condemned"
 _log = logbook.Logger(__name__)
 
 
@@ -58,16 +55,17 @@
         self._catalogue = catalogue
         self._records = records
         self._peers = peers
-        self._board = board
         self._guard = guard
         self._clock = clock
         self._metrics = metrics
         self._random = random_source or random.Random()
         self._lock = threading.Lock()
         self._active_by_service = {}
-        self._told_by_id = {}
         self._seen_by_order = {}
-        board.subscribe(_CONDEMNED, self._learn_condemned)
+        self._evidence = move_evidence.MoveEvidence(
+            board, peers.host_id, _QUIET_PERIOD, clock, metrics
+        )
+        self._evidence.subscribe(self._learn_condemned)
 
     def pick(self, service, route):
         """Return the versions that a new request may run at, None for all.
@@ -133,8 +131,9 @@
         """Follow the records, exchange evidence and weigh it."""
         self._follow()
         for active in tuple(self._active_by_service.values()):
-            self._tell(active)
-            self._weigh(active)
+            if active.is_carrier:
+                self._evidence.tell(active)
+            self._evidence.weigh(active)
 
     def _follow(self):
         active_by_service = {}
@@ -148,8 +147,7 @@
         for service in ended:
             _log.info("move no longer followed", service=service)
         self._active_by_service = active_by_service
-        for fact in self._board.facts(_CONDEMNED).values():
-            self._learn_condemned(fact)
+        self._learn_condemned()
 
     def seen_at(self, order):
         """Return the time at which this host first saw an order."""
@@ -186,67 +184,24 @@
         return active
 
     def routes(self, service):
-        """Return the names of a service's routes."""
+        """Return a service's routes."""
         table = self._catalogue.table
         return [
-            route.name
+            route
             for route in (table.routes if table is not None else ())
             if any(share.service == service for share in route.shares)
         ]
 
-    def _tell(self, active):
-        if not active.is_carrier:
-            return
-        now = self._clock.now()
-        move_id = active.record.move_id
-        evidence, has_adverse_news = active.report(now)
-        told_at, told = self._told_by_id.get(move_id, (None, None))
-        if evidence == told:
-            return
-        if told_at and not has_adverse_news and now - told_at < _QUIET_PERIOD:
-            return
-        self._told_by_id[move_id] = now, evidence
-        fact = facts.Fact(
-            _EVIDENCE,
-            f"{move_id}/{self._peers.host_id}",
-            int(now.timestamp() * 1000),
-            msgspec.msgpack.encode(evidence),
-        )
-        if not self._board.publish(fact):
-            self._metrics.count("move_evidence_refused")
-        self._metrics.set(
-            "move_exposed_share", evidence.exposed / max(1, evidence.requests)
-        )
-
-    def _weigh(self, active):
-        condemnation = active.weigh(self._evidence(active), self._clock.now())
-        if condemnation is None or active.condemnation is not None:
-            return
-        value = msgspec.msgpack.encode(condemnation)
-        self._board.publish(facts.Fact(_CONDEMNED, active.record.move_id, 1, value))
-
-    def _evidence(self, active):
-        prefix = f"{active.record.move_id}/"
-        return {
-            key: fact
-            for key, fact in self._board.facts(_EVIDENCE).items()
-            if key.startswith(prefix)
-        }
-
-    def _learn_condemned(self, fact):
-        found = msgspec.msgpack.decode(fact.value, type=active_move.Condemnation)
+    def _learn_condemned(self):
         with self._lock:
             for active in tuple(self._active_by_service.values()):
-                if active.record.move_id != fact.key or active.condemnation is not None:
-                    continue
-                active.condemnation = found
-                self._metrics.count("versions_condemned")
-                _log.info(
-                    "version condemned",
-                    service=active.record.service,
-                    version=active.record.to_version,
-                    reason=found.describe(),
-                )
+                if self._evidence.learn_condemned(active):
+                    _log.info(
+                        "version condemned",
+                        service=active.record.service,
+                        version=active.record.to_version,
+                        reason=active.condemnation.describe(),
+                    )
 
     def weighing(self, service):
         """Return what is known of a move, None before all who carry it were heard.
@@ -258,9 +213,6 @@
         active = self._active_by_service.get(service)
         if active is None:
             return None
-        if active.condemnation is None:
-            evidence = self._evidence(active)
-            move_id = active.record.move_id
-            if any(f"{move_id}/{host}" not in evidence for host in active.carriers):
-                return None
-        return active.weighing(self.routes(service))
+        if active.condemnation is None and not self._evidence.has_all(active):
+            return None
+        return active.weighing([route.name for route in self.routes(service)])
--- a/src/peridothitch/gateway/moves.py
+++ b/src/peridothitch/gateway/moves.py
@@ -11,7 +11,7 @@
 
 from peridothitch import errors
 from peridothitch.coordination import verdicts
-from peridothitch.gateway import active_move, move_decider
+from peridothitch.gateway import active_move, move_decider, move_evidence
 from peridothitch.policy import moves
 from peridothitch.ports import facts, outcomes, upstream
 
@@ -19,8 +19,6 @@
 
 _RECORD_KIND = "move-record"
 _OVERRIDE_KIND = "move-in-force"
-_EVIDENCE_KIND = "move-evidence"
-_CONDEMNED_KIND = "condemned"
 _TICK = datetime.timedelta(milliseconds=500)
 _QUIET_INTERVAL = datetime.timedelta(seconds=5)
 _DECISION_INTERVAL = datetime.timedelta(seconds=1)
@@ -78,8 +76,10 @@
         self._next_read = clock.monotonic()
         self._next_decision = clock.monotonic()
         self._decider = move_decider.MoveDecider(book, clock)
-        self._published_by_id = {}
-        board.subscribe(_CONDEMNED_KIND, self._on_condemned)
+        self._evidence = move_evidence.MoveEvidence(
+            board, peers.host_id, _QUIET_INTERVAL, clock, metrics
+        )
+        self._evidence.subscribe(self._learn_condemned)
 
     def pick(self, job):
         """Return the name of the version for a request.
@@ -210,12 +210,9 @@
                 self._read_sequences[kind, key] = fact.sequence
                 yield key, fact
 
-    def _on_condemned(self, fact):
-        condemnation = msgspec.msgpack.decode(fact.value, type=active_move.Condemnation)
+    def _learn_condemned(self):
         for active in tuple(self._active_by_service.values()):
-            if active.record.move_id == fact.key and active.condemnation is None:
-                active.condemnation = condemnation
-                self._metrics.count("versions_condemned", move=active.record.name)
+            self._evidence.learn_condemned(active)
 
     def _follow(self, document):
         open_by_service = {
@@ -228,8 +225,7 @@
             for service, record in open_by_service.items()
         }
         self._active_by_service = active_by_service
-        for fact in self._board.facts(_CONDEMNED_KIND).values():
-            self._on_condemned(fact)
+        self._learn_condemned()
 
     def _activate(self, record, document):
         active = self._active_by_service.get(record.service)
@@ -260,39 +256,9 @@
 
     def _exchange_evidence(self, active):
         if active.is_carrier:
-            self._publish(active)
-        if not active.is_carrier and not self._leadership.is_held():
-            return
-        move_id = active.record.move_id
-        fact_by_key = {
-            key: fact
-            for key, fact in self._board.facts(_EVIDENCE_KIND).items()
-            if key.startswith(f"{move_id}/")
-        }
-        condemnation = active.weigh(fact_by_key, self._clock.now())
-        if condemnation is None or active.condemnation is not None:
-            return
-        value = msgspec.msgpack.encode(condemnation)
-        self._board.publish(facts.Fact(_CONDEMNED_KIND, move_id, 1, value))
-
-    def _publish(self, active):
-        now = self._clock.now()
-        move_id = active.record.move_id
-        report, has_adverse_news = active.report(now)
-        last_at, last = self._published_by_id.get(move_id, (None, None))
-        if report == last:
-            return
-        if last_at and not has_adverse_news and now - last_at < _QUIET_INTERVAL:
-            return
-        self._published_by_id[move_id] = (now, report)
-        sequence = int(now.timestamp() * 1000)
-        key = f"{move_id}/{self._peers.host_id}"
-        value = msgspec.msgpack.encode(report)
-        fact = facts.Fact(_EVIDENCE_KIND, key, sequence, value)
-        if not self._board.publish(fact):
-            self._metrics.count("move_evidence_refused", move=active.record.name)
-        exposed = report.exposed / max(1, report.requests)
-        self._metrics.set("move_exposed_share", exposed, move=active.record.name)
+            self._evidence.tell(active)
+        if active.is_carrier or self._leadership.is_held():
+            self._evidence.weigh(active)
 
     def _decide_all(self, document):
         now = self._clock.monotonic()
@@ -319,9 +285,7 @@
             return True
         if self._clock.monotonic() - active.since < _HEARING_TIME:
             return False
-        known = self._board.facts(_EVIDENCE_KIND)
-        move_id = active.record.move_id
-        return all(f"{move_id}/{host_id}" in known for host_id in active.carriers)
+        return self._evidence.has_all(active)
 
 
 def _routes(document, service):
