Reset sockets, free ports and the trial's route in one place each; fewer parts in the soak

Stand-ins, the soak's links and the front each set the linger of a reset; sockets does it now. The soak counted a host that had to be killed at its end as one that ended well, since it has no exit code; it is a failure now. Unused state of the soak is gone, and the trial takes its route and keys from the stand-ins' records.

--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -12,6 +12,8 @@
 import behave
 import forwarding_bench as benches
 
+from soak import processes
+
 _SETTINGS = """
 node_name = "edge-process"
 zone = "lothian-a"
@@ -44,11 +46,6 @@
 """
 
 
-def _free_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
-
-
 @behave.given("an entry host as a process of its own")
 def start_process(context):
     folder = tempfile.TemporaryDirectory()
@@ -56,8 +53,8 @@
     context.path = pathlib.Path(folder.name, "settings.toml")
     context.log = pathlib.Path(folder.name, "log")
     context.ports = {
-        "front": _free_port(),
-        "ready": _free_port(),
+        "front": processes.free_port(),
+        "ready": processes.free_port(),
         "store": context.bench.store_port,
     }
     context.path.write_text(_SETTINGS.format(grace=1, **context.ports))
--- a/soak/links.py
+++ b/soak/links.py
@@ -2,15 +2,15 @@
 
 import contextlib
 import socket
-import struct
 import threading
 
+from peridothitch import sockets
+
 __all__ = ["Link"]
 
 _CHUNK_BYTES = 1 << 14
 _POLL_SECONDS = 0.02
 _DELAY_SECONDS = 0.15
-_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class Link:
@@ -66,7 +66,7 @@
             self._silenced.clear()
         for pair in pairs:
             for sock in pair:
-                _reset(sock)
+                sockets.reset(sock)
 
     def _accept(self):
         while True:
@@ -80,7 +80,7 @@
         try:
             far = socket.create_connection(self._target, 5)
         except OSError:
-            _reset(near)
+            sockets.reset(near)
             return
         far.settimeout(None)
         for sock in (near, far):
@@ -117,11 +117,4 @@
             if pair in self._pairs:
                 self._pairs.remove(pair)
         for sock in pair:
-            _reset(sock)
-
-
-def _reset(sock):
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-        sock.shutdown(socket.SHUT_RD)
-    sock.close()
+            sockets.reset(sock)
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -12,7 +12,7 @@
 import threading
 import time
 
-__all__ = ["GRACE_SECONDS", "EntryProcess"]
+__all__ = ["GRACE_SECONDS", "EntryProcess", "free_port"]
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _SETTINGS = """\
@@ -75,7 +75,7 @@
         self.name = name
         self._folder = folder
         self._fields = fields | {"name": name, "settings_version": 1}
-        self._fields |= {key: _free_port() for key in ("front", "ready", "peers")}
+        self._fields |= {key: free_port() for key in ("front", "ready", "peers")}
         self._lock = threading.RLock()
         self._process = None
         self._starts = 0
@@ -207,7 +207,7 @@
             return None
 
 
-def _free_port():
+def free_port():
     """Return a port that nothing listens on and no outgoing connection gets."""
     while True:
         port = _ports.randrange(*_PORT_RANGE)
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,7 +3,6 @@
 import dataclasses
 import datetime
 import pathlib
-import random
 import tempfile
 import time
 
@@ -79,7 +78,6 @@
         self._plan = plan.draw(seed, datetime.timedelta(seconds=seconds))
         self._world = world.World(folder, host_count, seed)
         self._callers = callers.Callers(self._world.pick_host, caller_count, seed)
-        self._random = random.Random(seed)
         self._struck = []
         self._broken = []
         self._timed = timed
@@ -89,7 +87,7 @@
         """Play to the end; returns the `Report`."""
         self._world.start()
         self._wait_for(
-            lambda: self._world.ready_count() == len(self._world.hosts),
+            self._world.is_ready,
             _START_SECONDS,
             "RECOVER not all hosts became ready at the start",
         )
@@ -105,7 +103,7 @@
         )
         recovered = time.monotonic() - healed
         self._wait_for(
-            lambda: self._world.ready_count() == len(self._world.hosts),
+            self._world.is_ready,
             _RECOVERY_SECONDS,
             "RECOVER not all hosts are ready again",
         )
@@ -117,7 +115,8 @@
         if self._timed and any(overdue.values()):
             self._broken.append(f"STOP not ended in time: {overdue}")
         codes = self._world.close()
-        if any(codes):
+        # A host that had to be killed has no code.
+        if any(code != 0 for code in codes):
             self._broken.append(f"STOP exit codes {codes}")
         attempts = self._callers.attempts
         self._broken += promises.check(self._world, attempts, self._struck, self._timed)
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,7 +1,7 @@
 """The platform's stand-ins, entry hosts before them, and the faults of a plan."""
 
 import contextlib
-import json
+import dataclasses
 import random
 import threading
 import time
@@ -50,6 +50,7 @@
         self.link = links.Link(self.replica.address)
 
 
+@dataclasses.dataclass(frozen=True)
 class Leaving:
     """An upstream that told that it leaves.
 
@@ -60,9 +61,8 @@
         Monotonic seconds.
     """
 
-    def __init__(self, found, since):
-        self.replica = found
-        self.since = since
+    replica: replica.Replica
+    since: float
 
 
 class World:
@@ -206,9 +206,9 @@
                 number for number, host in enumerate(self.hosts) if host.is_ready()
             ]
 
-    def ready_count(self):
-        """Return how many hosts said lately that they take requests."""
-        return len(self._ready)
+    def is_ready(self):
+        """Return whether all hosts said lately that they take requests."""
+        return len(self._ready) == len(self.hosts)
 
     def pick_host(self):
         """Return name and address for a new connection, as the balancer does."""
@@ -359,10 +359,6 @@
             self._extra_routes.append(f"/extra-{self._serial}/")
         self._configure()
 
-    def rules(self):
-        """Return the newest rules' version."""
-        return json.loads(self.store.read("op/config"))["version"]
-
 
 def _route(name, prefix, route_name=None):
     return {
--- a/src/peridothitch/adapters/raw_front.py
+++ b/src/peridothitch/adapters/raw_front.py
@@ -3,8 +3,6 @@
 import concurrent.futures
 import http.client
 import re
-import socket
-import struct
 import threading
 
 import logbook
@@ -12,7 +10,7 @@
 import waitress.parser
 import waitress.task
 
-from peridothitch import errors
+from peridothitch import errors, sockets
 from peridothitch.adapters import front_channel, wsgi_server
 from peridothitch.ports import forwarding, raw
 
@@ -20,7 +18,6 @@
 
 _log = logbook.Logger(__name__)
 _FIELD = re.compile(rb"([^:\s]+):[ \t]*(.*?)[ \t]*")
-_NO_LINGER = struct.pack("ii", 1, 0)
 _ENDLESS_SECONDS = 10**7
 """Keeps the library from closing idle connections by the wall clock."""
 
@@ -182,7 +179,7 @@
 
     def reset(self):
         """Let the close of the connection be a reset."""
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        sockets.reset_on_close(self.socket)
 
     def received(self, data):
         """Take input of the caller."""
--- a/src/peridothitch/cli/platform_trial.py
+++ b/src/peridothitch/cli/platform_trial.py
@@ -20,18 +20,6 @@
 _DATA_CENTRE = "lothian-a"
 _HOST_NAME = "trial.example"
 _SERVICE = "model"
-_ROUTE = {
-    "name": "trial",
-    "host": _HOST_NAME,
-    "prefix": "/ask/",
-    "route_type": "streaming",
-    "service": _SERVICE,
-    "max_attempts": 2,
-    "stream_resume": True,
-    "timeout_ms": 10000,
-    "target_latency_ms": 500,
-    "target_gap_ms": 300,
-}
 _PROMISES = sites.Promises(grace=datetime.timedelta(seconds=3))
 
 
@@ -52,10 +40,14 @@
         duties_address = self._serve(platform_duties.PlatformDutiesService())
         for name in ("i-1", "i-2"):
             self._add_replica(name)
+        route = platform_records.stream_route("trial", _HOST_NAME, "/ask/", _SERVICE)
         configuration = platform_records.configuration(
-            1, [_ROUTE], [{"name": _SERVICE}], [{"name": "trial", "api_keys": [KEY]}]
+            1,
+            [route],
+            [{"name": _SERVICE}],
+            [platform_records.customer("trial", KEY)],
         )
-        self._store.put("op/config", configuration)
+        self._store.put(platform_records.TABLE_KEY, configuration)
         site = sites.Site(
             host_id="edge-1",
             data_centre=_DATA_CENTRE,
@@ -107,4 +99,4 @@
         found.start()
         self._stack.callback(found.close)
         record = platform_records.host_record(found.address, _SERVICE, _DATA_CENTRE)
-        self._store.put(f"servers/{name}", record)
+        self._store.put(platform_records.host_key(name), record)
--- a/src/peridothitch/sockets.py
+++ b/src/peridothitch/sockets.py
@@ -3,8 +3,11 @@
 import contextlib
 import select
 import socket
+import struct
 
-__all__ = ["close", "connect", "has_input", "set_liveness"]
+__all__ = ["close", "connect", "has_input", "reset", "reset_on_close", "set_liveness"]
+
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 _KEEPALIVE_IDLE_SECONDS = 1
 """Silence after which the kernel probes a connection; well below a contact time."""
@@ -60,3 +63,16 @@
     with contextlib.suppress(OSError):
         sock.shutdown(socket.SHUT_RDWR)
     sock.close()
+
+
+def reset_on_close(sock):
+    """Let the close of a connection be a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
+
+def reset(sock):
+    """Reset a connection, also while another thread reads from it."""
+    with contextlib.suppress(OSError):
+        reset_on_close(sock)
+        sock.shutdown(socket.SHUT_RD)
+    sock.close()
--- a/src/peridothitch/standins/platform_records.py
+++ b/src/peridothitch/standins/platform_records.py
@@ -2,7 +2,45 @@
 
 import json
 
-__all__ = ["configuration", "host_record", "request_headers", "stream_headers"]
+__all__ = [
+    "TABLE_KEY",
+    "configuration",
+    "customer",
+    "host_key",
+    "host_record",
+    "request_headers",
+    "stream_headers",
+    "stream_route",
+]
+
+TABLE_KEY = "op/config"
+"""Where operators write."""
+
+
+def host_key(host_id):
+    """Return the key of an upstream's record."""
+    return f"servers/{host_id}"
+
+
+def customer(name, key):
+    """Return a customer with one key, as operators write it."""
+    return {"name": name, "api_keys": [key]}
+
+
+def stream_route(name, host_name, prefix, service):
+    """Return a route for streams that may be resumed, as operators write it."""
+    return {
+        "name": name,
+        "host": host_name,
+        "prefix": prefix,
+        "route_type": "streaming",
+        "service": service,
+        "max_attempts": 2,
+        "stream_resume": True,
+        "timeout_ms": 10000,
+        "target_latency_ms": 500,
+        "target_gap_ms": 300,
+    }
 
 
 def configuration(version, routes, services, tenants, **others):
--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -9,13 +9,13 @@
 import http.client
 import io
 import socket
-import struct
 import threading
 import time
 
+from peridothitch import sockets
+
 __all__ = ["ReceivedRequest", "Replica"]
 
-_NO_LINGER = struct.pack("ii", 1, 0)
 _TIMEOUT_SECONDS = 10.0
 _SIGNATURE = "Peridothitch-Response-Signature: 3e1b.07"
 
@@ -113,9 +113,9 @@
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         with self._lock:
-            sockets, self._open = self._open, set()
-        for sock in sockets:
-            _reset(sock)
+            opened, self._open = self._open, set()
+        for sock in opened:
+            sockets.reset(sock)
 
     def _accept(self):
         while True:
@@ -213,7 +213,7 @@
         self.ran.append(request.value("Peridothitch-Attempt-Id"))
         self._stream(sock, request, 2)
         sock.sendall(b"20\r\nid: 3\ndata: tok")
-        _reset(sock)
+        sockets.reset(sock)
         return False
 
     def do_refuse(self, sock, request):
@@ -250,7 +250,7 @@
     def do_reset(self, sock, request):
         """Run the request and reset the connection without an answer."""
         self.ran.append(request.value("Peridothitch-Attempt-Id"))
-        _reset(sock)
+        sockets.reset(sock)
         return False
 
     def do_cut(self, sock, request):
@@ -299,15 +299,6 @@
         return False
 
 
-def _reset(sock):
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-        sock.shutdown(socket.SHUT_RD)
-    except OSError:
-        pass
-    sock.close()
-
-
 def _is_closed(sock):
     sock.settimeout(0.0)
     try:
