Log what a peer sends of the store's keys, and why it sends nothing

Cause: a failed exchange between peers was a line at debug level, which is not written, and the size and time of a successful one were not told; the hypotheses about rules that are not in effect in time can't be told apart without them. Change: "keys received" with prefixes, bytes and milliseconds, "peer sync failed" with its reason. Result: features/store_relays.feature 6 passed, 0 failed.

--- a/src/peridothitch/gateway/forwarding/peer_sync.py
+++ b/src/peridothitch/gateway/forwarding/peer_sync.py
@@ -194,7 +194,12 @@
             sync_reply = msgspec.msgpack.decode(reply, type=_SyncReply)
         except (errors.PeerError, msgspec.MsgspecError) as error:
             self._metrics.count("peer_sync_failures")
-            _log.debug("peer {} did not answer: {}", host_id, error)
+            _log.info(
+                "peer sync failed",
+                peer=host_id,
+                reason=str(error),
+                ms=_to_milliseconds(self._clock.monotonic() - began),
+            )
             return False
         ended = self._answered_at = self._clock.monotonic()
         moment = datetime.datetime.fromtimestamp(sync_reply.now, datetime.UTC)
@@ -202,6 +207,14 @@
             host_id, moment, began + (ended - began) / 2
         )
         self._record_source(sync_reply)
+        if sync_reply.states:
+            _log.info(
+                "keys received",
+                peer=host_id,
+                prefixes=" ".join(state.prefix for state in sync_reply.states),
+                bytes=len(reply),
+                ms=_to_milliseconds(ended - began),
+            )
         return self._merge(sync_reply)
 
     def _merge(self, sync_reply):
@@ -234,3 +247,7 @@
             (self._clock.monotonic() - at).total_seconds(),
         )
         return msgspec.msgpack.encode(sync_reply)
+
+
+def _to_milliseconds(duration):
+    return int(duration / datetime.timedelta(milliseconds=1))
