Match unnamed examples of scenario outlines in KNOWN-RED.txt

Cause: behave ends the names of such examples with a blank, entries of the list are read without one, so a listed example failed the run all the same. Change: names are compared without blanks at their ends.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -57,7 +57,8 @@
         for element in feature.get("elements", ()):
             if element["type"] == "background":
                 continue
-            yield f"{name}: {element['name']}", element
+            # Names of a scenario outline's unnamed examples end with a blank.
+            yield f"{name}: {element['name'].strip()}", element
 
 
 def _failure_text(element):
