--- a/features/store_relays.feature
+++ b/features/store_relays.feature
@@ -34,3 +34,14 @@
     Then at most 30 hosts follow the store
     When the store serves all hosts and 8 seconds pass
     Then at most 6 hosts follow the store
+
+  Scenario Outline: Large rules do not arrive in time behind slow links
+    Given <hosts> hosts in <data_centres> data centres with links of 10 Mbit/s
+    When the store gets rules with <routes> routes and <seconds> seconds pass
+    Then all hosts have the rules
+
+    Examples:
+      | hosts | data_centres | routes | seconds |
+      | 85    | 6            | 50     | 4       |
+      | 85    | 6            | 1450   | 4       |
+      | 85    | 6            | 5000   | 4       |
--- a/src/peridothitch/gateway/forwarding/peer_sync.py
+++ b/src/peridothitch/gateway/forwarding/peer_sync.py
@@ -109,9 +109,12 @@
     shared_clock : SharedClock
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
+    random_source : random.Random or None
     """
 
-    def __init__(self, mirrors, peers, shared_clock, clock, metrics):
+    def __init__(
+        self, mirrors, peers, shared_clock, clock, metrics, random_source=None
+    ):
         self._mirror_by_prefix = {
             own_mirror.prefix: own_mirror for own_mirror in mirrors
         }
@@ -119,7 +122,7 @@
         self._shared_clock = shared_clock
         self._clock = clock
         self._metrics = metrics
-        self._random = random.Random()
+        self._random = random_source or random.Random()
         self._started_at = clock.monotonic()
         self._answered_at = None
         self._source = ""
