Send the store's keys between hosts in compressed parts

Callers saw 404 on routes that had been in effect for over 4 s.

Cause: a host that does not follow the store got all keys below a prefix in one reply. Rules with 1,450 routes are 288 KB; on links of 10 Mbit/s, which a relay shares among its callers, a reply took 0.5 to 1.5 s, and each call that timed out began again from the first byte. Class of fault: a call with a fixed time limit carries content without a size limit. Change: content is compressed and sent in parts of 32 KB, one a call. The parts depend on the content alone, so that a download goes on at another host. Hosts of earlier builds get whole contents as before.

--- a/features/store_relays.feature
+++ b/features/store_relays.feature
@@ -45,3 +45,18 @@
       | 85    | 6            | 50     | 4       |
       | 85    | 6            | 1450   | 4       |
       | 85    | 6            | 5000   | 4       |
+
+  Scenario: A download of rules continues at another host
+    Given two hosts with the same rules of 3000 routes
+    When a host downloads a part from one and the others from the second
+    Then it has the rules after as many parts as from one host
+
+  Scenario: A damaged part of rules is not put in effect
+    Given two hosts with the same rules of 3000 routes
+    When a host downloads the rules and one part is damaged
+    Then the download is rejected and begins again
+
+  Scenario: Hosts of an earlier version get the rules whole
+    Given 7 hosts in 3 data centres with links of 10 Mbit/s
+    When a host of an earlier version asks for rules with 50 routes
+    Then it is sent the whole content and no parts
--- a/features/sync_fleet.py
+++ b/features/sync_fleet.py
@@ -219,10 +219,10 @@
             for number in range(host_count)
         }
         self.network = _Network(self.scheduler, self.peer_by_id, bits_per_second)
-        self._host_by_id = {
+        self.host_by_id = {
             host_id: self._make_host(host_id) for host_id in self.peer_by_id
         }
-        for host_id, host in self._host_by_id.items():
+        for host_id, host in self.host_by_id.items():
             self.scheduler.spawn(lambda host=host: host.sync.run(threading.Event()))
             self.scheduler.spawn(
                 lambda host_id=host_id, host=host: self._follow(host_id, host)
@@ -265,7 +265,7 @@
         """Return the ids of the hosts that follow the store."""
         return [
             host_id
-            for host_id, host in self._host_by_id.items()
+            for host_id, host in self.host_by_id.items()
             if host.sync.should_follow_store()
         ]
 
@@ -273,7 +273,7 @@
         """Return the live hosts that lack the store's value."""
         return [
             host_id
-            for host_id, host in self._host_by_id.items()
+            for host_id, host in self.host_by_id.items()
             if host_id not in self.dead_host_ids
             and host.mirror.items()[KEY] != self._store.item
         ]
--- a/src/peridothitch/gateway/forwarding/peer_sync.py
+++ b/src/peridothitch/gateway/forwarding/peer_sync.py
@@ -2,8 +2,8 @@
 
 Hosts that are refused by the store receive its content from their peers. Every host
 periodically sends a peer the revisions of its mirrored prefixes, and receives the
-content of those for which the peer has a newer one. The replies also contain the
-peer's estimate of true time.
+content of those for which the peer has a newer one, in parts. The replies also contain
+the peer's estimate of true time.
 """
 
 import datetime
@@ -14,7 +14,7 @@
 import msgspec
 
 from peridothitch import errors
-from peridothitch.coordination import mirror, relays
+from peridothitch.coordination import mirror, mirror_parts, relays
 from peridothitch.policy import true_time
 from peridothitch.ports import clock as clocks
 
@@ -42,9 +42,13 @@
 
 
 class _SyncRequest(msgspec.Struct, frozen=True, array_like=True):
-    """The requesting host's revisions and digests by prefix."""
+    """The requesting host's revisions and digests, and its downloads, by prefix.
+
+    Hosts of versions that do not download parts send no `progress_by_prefix`.
+    """
 
     version_by_prefix: dict[str, tuple[int, int]]
+    progress_by_prefix: dict[str, mirror_parts.Progress] | None = None
 
 
 class _SyncReply(msgspec.Struct, frozen=True, array_like=True):
@@ -53,18 +57,21 @@
     Attributes
     ----------
     states : tuple of peridothitch.coordination.mirror.MirrorState
+        Whole contents, for hosts that do not download parts.
     now : float
         Unix seconds.
     source : str
         Host that had contact with the store most recently, empty if unknown.
     source_age : float
         Seconds since that contact.
+    parts : tuple of peridothitch.coordination.mirror_parts.MirrorPart
     """
 
     states: tuple[mirror.MirrorState, ...]
     now: float
     source: str = ""
     source_age: float = 0.0
+    parts: tuple[mirror_parts.MirrorPart, ...] = ()
 
 
 class SharedClock(clocks.Clock):
@@ -118,6 +125,13 @@
         self._mirror_by_prefix = {
             own_mirror.prefix: own_mirror for own_mirror in mirrors
         }
+        self._download_by_prefix = {
+            prefix: mirror_parts.Download() for prefix in self._mirror_by_prefix
+        }
+        self._source_by_prefix = {
+            own_mirror.prefix: mirror_parts.PartSource(own_mirror)
+            for own_mirror in mirrors
+        }
         self._peers = peers
         self._shared_clock = shared_clock
         self._clock = clock
@@ -183,11 +197,30 @@
         host_id = self._choose_peer()
         if host_id is None:
             return False
+        has_changes = False
+        while (sync_reply := self._call(host_id)) is not None:
+            try:
+                states = [self._add_part(part) for part in sync_reply.parts]
+            except ValueError as error:
+                self._record_failure(host_id, error)
+                break
+            has_changes |= self._merge(sync_reply.states)
+            has_changes |= self._merge(state for state in states if state is not None)
+            if None not in states:
+                break
+        return has_changes
+
+    def _call(self, host_id):
+        """Send a peer what this host has; returns the reply, None if there is none."""
         request = _SyncRequest(
             {
                 prefix: own_mirror.version
                 for prefix, own_mirror in self._mirror_by_prefix.items()
-            }
+            },
+            {
+                prefix: download.progress
+                for prefix, download in self._download_by_prefix.items()
+            },
         )
         began = self._clock.monotonic()
         try:
@@ -196,33 +229,39 @@
             )
             sync_reply = msgspec.msgpack.decode(reply, type=_SyncReply)
         except (errors.PeerError, msgspec.MsgspecError) as error:
-            self._metrics.count("peer_sync_failures")
-            _log.info(
-                "peer sync failed",
-                peer=host_id,
-                reason=str(error),
-                ms=_to_milliseconds(self._clock.monotonic() - began),
-            )
-            return False
+            self._record_failure(host_id, error)
+            return None
         ended = self._answered_at = self._clock.monotonic()
         moment = datetime.datetime.fromtimestamp(sync_reply.now, datetime.UTC)
         self._shared_clock.record_peer_time(
             host_id, moment, began + (ended - began) / 2
         )
         self._record_source(sync_reply)
-        if sync_reply.states:
+        for received in (*sync_reply.states, *sync_reply.parts):
             _log.info(
                 "keys received",
                 peer=host_id,
-                prefixes=" ".join(state.prefix for state in sync_reply.states),
+                prefix=received.prefix,
+                revision=received.revision,
                 bytes=len(reply),
                 ms=_to_milliseconds(ended - began),
             )
-        return self._merge(sync_reply)
+        return sync_reply
 
-    def _merge(self, sync_reply):
+    def _record_failure(self, host_id, error):
+        self._metrics.count("peer_sync_failures")
+        _log.info("peer sync failed", peer=host_id, reason=str(error))
+
+    def _add_part(self, part):
+        """Add a part to its download; returns the state if it was the last part."""
+        download = self._download_by_prefix.get(part.prefix)
+        if download is None:
+            raise ValueError(f"keys below {part.prefix!r} were not requested")
+        return download.add(part)
+
+    def _merge(self, states):
         has_changes = False
-        for state in sync_reply.states:
+        for state in states:
             own_mirror = self._mirror_by_prefix.get(state.prefix)
             if own_mirror is not None and own_mirror.merge(state):
                 has_changes = True
@@ -234,20 +273,26 @@
             request = msgspec.msgpack.decode(payload, type=_SyncRequest)
         except msgspec.MsgspecError as error:
             raise errors.PeerError(f"malformed question: {error}", True) from None
-        states = []
+        states, parts = [], []
         for prefix, (revision, digest) in request.version_by_prefix.items():
             own_mirror = self._mirror_by_prefix.get(prefix)
             if own_mirror is None or not own_mirror.is_loaded:
                 continue
             own_revision, own_digest = own_mirror.version
-            if own_revision > revision and own_digest != digest:
+            if own_revision <= revision or own_digest == digest:
+                continue
+            if request.progress_by_prefix is None:
                 states.append(own_mirror.state())
+                continue
+            progress = request.progress_by_prefix.get(prefix, mirror_parts.Progress())
+            parts.append(self._source_by_prefix[prefix].next_part(revision, progress))
         source, at = self._last_contact()
         sync_reply = _SyncReply(
             tuple(states),
             self._shared_clock.now().timestamp(),
             source,
             (self._clock.monotonic() - at).total_seconds(),
+            tuple(parts),
         )
         return msgspec.msgpack.encode(sync_reply)
 
