Log what a canary host knows about the new version of a move

Change: "move evidence published" with requests, exposed ones, answers, failed and slow ones and the ratio to the bound, whenever a canary host publishes its evidence. Result: features/move_evidence and features/ordered_moves pass.

--- a/src/peridothitch/gateway/move_evidence.py
+++ b/src/peridothitch/gateway/move_evidence.py
@@ -1,5 +1,6 @@
 """Exchange of evidence about the versions of a move between entry hosts."""
 
+import logbook
 import msgspec
 
 from peridothitch.gateway import active_move
@@ -9,6 +10,7 @@
 
 _EVIDENCE_KIND = "move-evidence"
 _CONDEMNED_KIND = "condemned"
+_log = logbook.Logger(__name__)
 
 
 class MoveEvidence:
@@ -63,6 +65,16 @@
             self._metrics.count("move_evidence_refused", move=name)
         exposed = evidence.exposed / max(1, evidence.requests)
         self._metrics.set("move_exposed_share", exposed, move=name)
+        _log.info(
+            "move evidence published",
+            move=name,
+            requests=evidence.requests,
+            exposed=evidence.exposed,
+            answers=sum(counts.attempts for counts in evidence.new.values()),
+            failed=sum(counts.failed for counts in evidence.new.values()),
+            slow=sum(counts.slow_firsts for counts in evidence.new.values()),
+            ratio=round(active.evidence_ratio, 3),
+        )
 
     def evaluate(self, active):
         """Evaluate all hosts' evidence; publishes a condemnation if one is found."""
