Keep requests from an unproved version when no other host is left

Cause: when no host of the proved version was live, the set of versions for a request was empty, which was taken to mean that every version may run it. Class of fault: one value stands for both "no restriction" and "nothing is permitted". Before a move has a record, and once the version is proved, it still serves when nothing else does.

--- a/features/move_fleet.py
+++ b/features/move_fleet.py
@@ -205,6 +205,7 @@
         self.document = make_document({"step": make_move()})
         self.exposed = collections.Counter()
         self.requests = 0
+        self.rejected = 0
         self.exposed_unproved = 0
         self.condemned_at = None
         self.last_new_version_at = None
@@ -278,6 +279,9 @@
         )
         version = controller.pick(job)
         self.requests += 1
+        if version is None:
+            self.rejected += 1
+            return
         self.exposed[version] += 1
         failing, slowdown = 0.002, 1.0
         if version == "v2":
--- a/features/ordered_move_fleet.py
+++ b/features/ordered_move_fleet.py
@@ -55,12 +55,13 @@
         )
 
     def pick(self, job):
-        """Return the version that serves one request."""
+        """Return the version that serves one request, None if no host may run it."""
         service = job.route.service
         versions = self._moves.versions_for_request(service, job.match.name)
         if versions is None:
             versions = {host.version for host in self._fleet.hosts().values()}
-        return self._fleet.random.choice(sorted(versions))
+        live_versions = {host.version for host in self._fleet.hosts().values()}
+        return self._fleet.random.choice(sorted(versions & live_versions) or [None])
 
     def observe(self, outcome):
         """Record one outcome."""
--- a/features/ordered_moves.feature
+++ b/features/ordered_moves.feature
@@ -57,3 +57,11 @@
     And the store is down
     When 5 seconds pass
     Then every request went to the old version
+
+  Scenario: All requests go to an unproved version when no other host is left
+    Given operators order a move within 40 seconds at 40 requests a second to a version that is slow at once
+    When 6 seconds pass
+    And the hosts of the old version are lost for 6 seconds
+    And the window of the move has passed
+    Then at most a tenth of all requests and 50 more went to it
+    And requests were rejected meanwhile
--- a/features/steps/ordered_moves_steps.py
+++ b/features/steps/ordered_moves_steps.py
@@ -143,3 +143,16 @@
 def order_again(context):
     context.fleet.version = move_fleet.Version()
     context.fleet.order("v2")
+
+
+@behave.when("the hosts of the old version are lost for {seconds:d} seconds")
+def lose_old_version(context, seconds):
+    fleet = context.fleet
+    fleet.is_old_version_removed = True
+    fleet.run(seconds * SECOND)
+    fleet.is_old_version_removed = False
+
+
+@behave.then("requests were rejected meanwhile")
+def check_rejected(context):
+    assert context.fleet.rejected > 0, context.fleet.rejected
--- a/src/peridothitch/gateway/forwarding/version_moves.py
+++ b/src/peridothitch/gateway/forwarding/version_moves.py
@@ -92,16 +92,28 @@
         order = self._catalogue.move_by_service.get(service)
         return None if order is None else self._stable_versions(order)
 
+    def _is_proved(self, order):
+        persisted = self._records.find(order)
+        return (
+            persisted is not None
+            and persisted.record.outcome is None
+            and persisted.record.proved_at is not None
+        )
+
     def _stable_versions(self, order):
         """Return the versions outside the canary test, None if no restriction applies.
 
-        These are all but the new version, and only the new one after the move.
+        These are all but the new version, and only the new one after the move. They may
+        have no live host; an unproved version does not replace them.
         """
         live = self._live_versions(order.service)
         persisted = self._records.find(order)
         if persisted is not None and persisted.record.outcome is moves.Outcome.DONE:
             return frozenset({order.version}) if order.version in live else None
-        return frozenset(live - {order.version}) or None
+        stable = frozenset(live - {order.version})
+        if persisted is None or self._is_proved(order):
+            return stable or None
+        return stable
 
     def _live_versions(self, service):
         return {host.version for host in self._live_hosts(service)}
