Release no upstream host while a move between versions is open

Cause: the platform starts a host of the new version beside each of the old one. The duty that orders hosts counted these as capacity and lowered its orders. An order counts the hosts of all versions, and the platform cuts it to the service's largest count a data centre (4 there) with all others in it: an order of 3 reclaimable hosts beside 4 new ones stopped all old ones. Class of fault: one part acts on a count (live hosts) that another part (the exposure limit) forbids to use. Change: hosts count by version: those that may not serve the load are no capacity. While a move is open, or hosts of an unused version are live, orders only add hosts, and only where the largest count leaves room beside the hosts of both versions.

--- a/features/duties.feature
+++ b/features/duties.feature
@@ -47,6 +47,24 @@
     When requests keep 4 hosts busy for 90 seconds
     Then it orders the minimum number of hosts
 
+  Scenario Outline: Hosts of the proved version are given back in the middle of a move
+    Given a fleet that keeps 8 upstream hosts busy in 3 data centres
+    And at most <most> hosts may run in each of them
+    And a move starts 4 hosts of an unproved version in each of them
+    When requests keep 8 hosts busy for 20 seconds
+    Then all 8 hosts of the old version in each of them remain
+    And the 4 hosts of the unproved version in each of them remain
+    When requests keep 1 hosts busy for 40 seconds
+    Then all 8 hosts of the old version in each of them remain
+    When the move is over and 20 seconds pass
+    Then it orders the minimum number of hosts
+
+    Examples:
+      | most |
+      | 30   |
+      | 12   |
+      | 8    |
+
   Scenario: A mirror never reverts to an older revision
     Given a mirror of a prefix
     When peers and the store send it changes in any order
--- a/features/steps/capacity_duty_steps.py
+++ b/features/steps/capacity_duty_steps.py
@@ -1,6 +1,7 @@
 """Steps for the orders of upstream hosts."""
 
 import collections
+import dataclasses
 import datetime
 import types
 
@@ -27,7 +28,9 @@
     """Starts and stops hosts as ordered, immediately."""
 
     def __init__(self):
+        self.maximum = 30
         self.count_by_place = collections.Counter()
+        self.new_count_by_data_centre = collections.Counter()
         self.orders = []
 
     def report_usage(self, report, fencing_number):
@@ -35,25 +38,57 @@
 
     def order_capacity(self, order, fencing_number):
         self.orders.append(order)
-        self.count_by_place[order.data_centre, order.reclaimable] = order.count
+        data_centre = order.data_centre
+        new_count = self.new_count_by_data_centre[data_centre]
+        # An order counts the hosts of all versions; those of a move are on-demand.
+        others = self.count_by_place[data_centre, not order.reclaimable]
+        others += new_count if order.reclaimable else 0
+        count = max(0, min(order.count, self.maximum - others))
+        if not order.reclaimable:
+            self.new_count_by_data_centre[data_centre] = min(new_count, count)
+            count = max(0, count - new_count)
+        self.count_by_place[data_centre, order.reclaimable] = count
         return duties.DutyAnswer(True)
 
     def hosts(self):
         """Return the hosts by id."""
-        host_by_id = {}
-        for (data_centre, reclaimable), count in self.count_by_place.items():
-            for number in range(count):
-                host_id = f"{data_centre}-{reclaimable}-{number}"
-                host_by_id[host_id] = upstream.Host(
-                    host_id=host_id,
+        places = [
+            ("v1", data_centre, reclaimable, count)
+            for (data_centre, reclaimable), count in self.count_by_place.items()
+        ]
+        places += [
+            ("v2", data_centre, False, count)
+            for data_centre, count in self.new_count_by_data_centre.items()
+        ]
+        return {
+            host.host_id: host
+            for version, data_centre, reclaimable, count in places
+            for host in (
+                upstream.Host(
+                    host_id=f"{version}-{data_centre}-{reclaimable}-{number}",
                     address="127.0.0.1:1",
                     service=_SERVICE,
-                    version="v1",
+                    version=version,
                     data_centre=data_centre,
                     reclaimable=reclaimable,
                     slots=12,
                 )
-        return host_by_id
+                for number in range(count)
+            )
+        }
+
+
+class _Moves:
+    """The moves between versions as the duty sees them."""
+
+    versions = None
+    is_moving = False
+
+    def versions_for_capacity(self, service):
+        return self.versions
+
+    def is_open(self, service):
+        return self.is_moving
 
 
 @behave.given(
@@ -103,19 +138,23 @@
         mod_revision=1,
         version=0,
     )
+    context.service = service
+    context.service_by_name = {_SERVICE: service}
     context.busy = {}
+    context.moves = _Moves()
     context.duty = capacity_duty.CapacityDuty(
         context.platform,
         types.SimpleNamespace(permit=lambda: lease.Permit(7, datetime.timedelta.max)),
         types.SimpleNamespace(busy_by_service=lambda: context.busy),
         types.SimpleNamespace(
             table=types.SimpleNamespace(
-                service_by_name={_SERVICE: service}, customer_by_key=customer_by_key
+                service_by_name=context.service_by_name, customer_by_key=customer_by_key
             ),
             is_loaded=True,
             hosts=context.platform.hosts,
         ),
         types.SimpleNamespace(items=lambda: {lease.PREFIX + "fleet": item}),
+        context.moves,
         types.SimpleNamespace(
             region_by_data_centre=dict.fromkeys(data_centres, "region"),
             bounds=quota_fleet.BOUNDS,
@@ -180,3 +219,64 @@
 def check_fewest(context):
     last = context.platform.orders[-1]
     assert last.count == _MINIMUM_PER_DATA_CENTRE, last
+
+
+@behave.given("at most {count:d} hosts may run in each of them")
+def limit(context, count):
+    context.platform.maximum = count
+    scaling = dataclasses.replace(context.service.scaling, maximum=count)
+    context.service_by_name[_SERVICE] = dataclasses.replace(
+        context.service, scaling=scaling
+    )
+
+
+@behave.given("a move starts {count:d} hosts of an unproved version in each of them")
+def start_move(context, count):
+    for data_centre, _ in tuple(context.platform.count_by_place):
+        context.platform.new_count_by_data_centre[data_centre] = count
+    context.moves.versions = frozenset({"v1"})
+    context.moves.is_moving = True
+
+
+def _counts(context, version):
+    hosts = context.platform.hosts().values()
+    return collections.Counter(
+        host.data_centre for host in hosts if host.version == version
+    )
+
+
+@behave.then("all {count:d} hosts of the old version in each of them remain")
+def check_old_version(context, count):
+    counts = _counts(context, "v1")
+    assert min(counts.values(), default=0) >= count, (counts, context.platform.orders)
+
+
+@behave.then("the {count:d} hosts of the unproved version in each of them remain")
+def check_unproved_version(context, count):
+    counts = _counts(context, "v2")
+    assert set(counts.values()) == {count}, (counts, context.platform.orders)
+
+
+@behave.when("the move is over and {seconds:d} seconds pass")
+def end_move(context, seconds):
+    context.platform.new_count_by_data_centre.clear()
+    context.moves.versions = None
+    context.moves.is_moving = False
+    _run(context, seconds)
+
+
+@behave.when("the new version takes over and {seconds:d} seconds pass")
+def complete_move(context, seconds):
+    context.platform.count_by_place.clear()
+    context.moves.versions = frozenset({"v2"})
+    context.moves.is_moving = False
+    context.least_count = min(context.platform.new_count_by_data_centre.values())
+    for _ in range(seconds):
+        _run(context, 1)
+        counts = _counts(context, "v1") + _counts(context, "v2")
+        context.least_count = min(context.least_count, *counts.values())
+
+
+@behave.then("at least {count:d} hosts ran in each of them all the while")
+def check_least_count(context, count):
+    assert context.least_count >= count, context.platform.orders
--- a/src/peridothitch/gateway/forwarding/capacity_duty.py
+++ b/src/peridothitch/gateway/forwarding/capacity_duty.py
@@ -36,19 +36,30 @@
     catalogue : peridothitch.gateway.forwarding.catalogue.Catalogue
     leases : peridothitch.coordination.mirror.Mirror
         Contains the fleet record, whose load is used until the current one is known.
+    version_moves : peridothitch.gateway.forwarding.version_moves.VersionMoves
     settings : peridothitch.ports.entry_settings.EntryHostSettings
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
     """
 
     def __init__(
-        self, client, fenced_lease, reports, catalogue, leases, settings, clock, metrics
+        self,
+        client,
+        fenced_lease,
+        reports,
+        catalogue,
+        leases,
+        version_moves,
+        settings,
+        clock,
+        metrics,
     ):
         self._client = client
         self._lease = fenced_lease
         self._reports = reports
         self._catalogue = catalogue
         self._leases = leases
+        self._moves = version_moves
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
@@ -115,13 +126,18 @@
             for order in capacity_plan.next_orders(
                 service, data_centre, wanted, supply
             ):
-                self._order(order, supply.live[data_centre, order.reclaimable], busy)
+                place = data_centre, order.reclaimable
+                present = supply.live[place] + supply.unused[place]
+                self._order(order, present, busy)
 
     def _supply(self, service):
-        live = collections.Counter()
+        versions = self._moves.versions_for_capacity(service)
+        live, unused = collections.Counter(), collections.Counter()
         for host in self._catalogue.hosts().values():
-            if host.service == service and host.state is upstream.HostState.LIVE:
-                live[host.data_centre, host.reclaimable] += 1
+            if host.service != service or host.state is not upstream.HostState.LIVE:
+                continue
+            counter = live if versions is None or host.version in versions else unused
+            counter[host.data_centre, host.reclaimable] += 1
         now = self._clock.monotonic()
         reclaimable = sum(
             count for (_, is_reclaimable), count in live.items() if is_reclaimable
@@ -137,6 +153,8 @@
         )
         return capacity_plan.Supply(
             live=live,
+            unused=unused,
+            is_moving=self._moves.is_open(service),
             sold_out=sold_out,
             is_reclaim_wave=last_loss is not None
             and now - last_loss < _RECLAIM_WAVE_TIME,
--- a/src/peridothitch/gateway/forwarding/duty_factory.py
+++ b/src/peridothitch/gateway/forwarding/duty_factory.py
@@ -83,6 +83,7 @@
                 deps.reports,
                 deps.catalogue,
                 deps.leases,
+                deps.version_moves,
                 settings,
                 deps.clock,
                 deps.metrics,
--- a/src/peridothitch/gateway/forwarding/version_moves.py
+++ b/src/peridothitch/gateway/forwarding/version_moves.py
@@ -14,7 +14,7 @@
 
 from peridothitch.gateway import active_move, move_evidence
 from peridothitch.policy import moves
-from peridothitch.ports import upstream
+from peridothitch.ports import record_codec, upstream
 
 __all__ = ["VersionMoves"]
 
@@ -92,6 +92,25 @@
         order = self._catalogue.move_by_service.get(service)
         return None if order is None else self._stable_versions(order)
 
+    def versions_for_capacity(self, service):
+        """Return the versions whose hosts serve a service's load, None for all.
+
+        An unproved version runs a small share of the requests only, however many hosts
+        it has.
+        """
+        order = self._catalogue.move_by_service.get(service)
+        if order is None or self._is_proved(order):
+            return None
+        return self._stable_versions(order)
+
+    def is_open(self, service):
+        """Return whether a service has a move whose end operators do not see yet."""
+        order = self._catalogue.move_by_service.get(service)
+        if order is None:
+            return False
+        persisted = self._records.find(order)
+        return persisted is None or persisted.told is record_codec.MoveState.RUNNING
+
     def _is_proved(self, order):
         persisted = self._records.find(order)
         return (
--- a/src/peridothitch/policy/capacity_plan.py
+++ b/src/peridothitch/policy/capacity_plan.py
@@ -48,7 +48,11 @@
     Attributes
     ----------
     live : dict of (str, bool) to int
-        Live hosts by data centre and whether they are reclaimable.
+        Live hosts that serve the load, by data centre and whether they are reclaimable.
+    unused : dict of (str, bool) to int
+        Live hosts of versions that may not serve the load. Orders count them, too.
+    is_moving : bool
+        Whether a move between versions is open.
     sold_out : frozenset of str
         Data centres where no reclaimable hosts were available recently.
     is_reclaim_wave : bool
@@ -57,6 +61,8 @@
     """
 
     live: dict
+    unused: dict = dataclasses.field(default_factory=dict)
+    is_moving: bool = False
     sold_out: frozenset = frozenset()
     is_reclaim_wave: bool = False
 
@@ -182,7 +188,8 @@
     """Return the orders for one data centre that approach a plan.
 
     On-demand hosts are released only once the reclaimable ones that replace them are
-    live, and both kinds together stay within the service's largest host count.
+    live, and both kinds together stay within the service's largest host count. While a
+    move is open or hosts of an unused version are live, no host is released.
 
     Parameters
     ----------
@@ -195,17 +202,52 @@
     -------
     list of peridothitch.ports.duties.CapacityOrder
     """
-    reclaimable = wanted.reclaimable_by_data_centre.get(data_centre, 0)
+    planned = wanted.reclaimable_by_data_centre.get(data_centre, 0)
     on_demand = wanted.on_demand_by_data_centre.get(data_centre, 0)
+    if supply.is_moving or _count(supply.unused, data_centre):
+        counts = _counts_without_release(
+            service, data_centre, {True: planned, False: on_demand}, supply
+        )
+        return _make_orders(service, data_centre, counts)
+    reclaimable_now = supply.live.get((data_centre, True), 0)
     on_demand_now = supply.live.get((data_centre, False), 0)
     spare_count = max(0, service.scaling.maximum - max(on_demand, on_demand_now))
-    reclaimable = min(reclaimable, spare_count)
-    is_replaced = supply.live.get((data_centre, True), 0) >= reclaimable
-    if not supply.sold_out and not is_replaced:
+    reclaimable = min(planned, spare_count)
+    if not supply.sold_out and reclaimable_now < reclaimable:
         on_demand = max(on_demand, on_demand_now)
-    counts = [(True, reclaimable)]
+    counts = {True: reclaimable}
     if on_demand or on_demand_now:
-        counts.append((False, on_demand))
+        counts[False] = on_demand
+    return _make_orders(service, data_centre, counts)
+
+
+def _count(count_by_place, data_centre):
+    return sum(count_by_place.get((data_centre, kind), 0) for kind in (True, False))
+
+
+def _counts_without_release(service, data_centre, wanted_by_kind, supply):
+    """Return the counts, by kind, that only add hosts.
+
+    The platform reduces an order with which a data centre would exceed the service's
+    largest host count, and stops the hosts beyond it. A move starts hosts of its new
+    version beside each of the old one; some of them may not be known yet.
+    """
+    proved_count = _count(supply.live, data_centre)
+    unused_count = _count(supply.unused, data_centre)
+    if supply.is_moving:
+        unused_count = max(unused_count, proved_count)
+    spare_count = service.scaling.maximum - proved_count - unused_count
+    counts = {}
+    for kind, wanted in wanted_by_kind.items():
+        live = supply.live.get((data_centre, kind), 0)
+        added = min(wanted - live, spare_count)
+        if added > 0:
+            counts[kind] = live + added + supply.unused.get((data_centre, kind), 0)
+            spare_count -= added
+    return counts
+
+
+def _make_orders(service, data_centre, count_by_kind):
     return [
         duties.CapacityOrder(
             service=service.name,
@@ -213,5 +255,5 @@
             count=count,
             reclaimable=is_reclaimable,
         )
-        for is_reclaimable, count in counts
+        for is_reclaimable, count in count_by_kind.items()
     ]
