Replace on-demand hosts of a full data centre in steps

Cause: on-demand hosts are released once the reclaimable ones that replace them are live. Where on-demand hosts take all places of a data centre, none can be ordered, so nothing was left to wait for and all were released at once. That is the state after a move, whose new hosts are on-demand. Change: without room for the planned hosts, on-demand ones are released only as far as the rest serves the load while no data centre is lost. Result: features/duties, "A full data centre loses all on-demand hosts when a move ends": no host was left in each data centre before, 3 of 4 now.

--- a/features/duties.feature
+++ b/features/duties.feature
@@ -65,6 +65,13 @@
       | 12   |
       | 8    |
 
+  Scenario: A full data centre loses all on-demand hosts when a move ends
+    Given a fleet that keeps 4 upstream hosts busy in 3 data centres
+    And at most 4 hosts may run in each of them
+    And a move starts 4 hosts of an unproved version in each of them
+    When the new version takes over and 40 seconds pass
+    Then at least 3 hosts ran in each of them all the while
+
   Scenario: A mirror never reverts to an older revision
     Given a mirror of a prefix
     When peers and the store send it changes in any order
--- a/features/steps/capacity_duty_steps.py
+++ b/features/steps/capacity_duty_steps.py
@@ -274,7 +274,10 @@
     for _ in range(seconds):
         _run(context, 1)
         counts = _counts(context, "v1") + _counts(context, "v2")
-        context.least_count = min(context.least_count, *counts.values())
+        context.least_count = min(
+            context.least_count,
+            *(counts[name] for name in context.platform.new_count_by_data_centre),
+        )
 
 
 @behave.then("at least {count:d} hosts ran in each of them all the while")
--- a/src/peridothitch/policy/capacity_plan.py
+++ b/src/peridothitch/policy/capacity_plan.py
@@ -74,10 +74,13 @@
     Attributes
     ----------
     reclaimable_by_data_centre, on_demand_by_data_centre : dict of str to int
+    required_per_data_centre : int
+        Hosts of either kind that serve the load as long as no data centre is lost.
     """
 
     reclaimable_by_data_centre: dict
     on_demand_by_data_centre: dict
+    required_per_data_centre: int = 0
 
 
 def smoothed_load(previous, load, passed_seconds):
@@ -151,13 +154,16 @@
         _LEAST_HOST_COUNT, scaling.minimum, math.ceil(needed / remaining)
     )
     count_per_data_centre = min(scaling.maximum, count_per_data_centre)
+    required = min(count_per_data_centre, math.ceil(needed / len(data_centres)))
     if scaling.reclaimable_price is None:
-        return CapacityPlan({}, dict.fromkeys(data_centres, count_per_data_centre))
+        on_demand = dict.fromkeys(data_centres, count_per_data_centre)
+        return CapacityPlan({}, on_demand, required)
     on_demand = dict.fromkeys(data_centres, 0)
     if supply.sold_out:
         shortfall = hosts_needed(busy_hosts, _SUBSTITUTE_UTILIZATION)
         on_demand = _substitutes(shortfall, scaling, data_centres, supply)
-    return CapacityPlan(dict.fromkeys(data_centres, count_per_data_centre), on_demand)
+    reclaimable = dict.fromkeys(data_centres, count_per_data_centre)
+    return CapacityPlan(reclaimable, on_demand, required)
 
 
 def _substitutes(needed, scaling, data_centres, supply):
@@ -188,8 +194,10 @@
     """Return the orders for one data centre that approach a plan.
 
     On-demand hosts are released only once the reclaimable ones that replace them are
-    live, and both kinds together stay within the service's largest host count. While a
-    move is open or hosts of an unused version are live, no host is released.
+    live, and both kinds together stay within the service's largest host count. If that
+    count leaves no place for all of them, the on-demand hosts are replaced in steps
+    that leave enough hosts for the load. While a move is open or hosts of an unused
+    version are live, no host is released.
 
     Parameters
     ----------
@@ -215,6 +223,9 @@
     reclaimable = min(planned, spare_count)
     if not supply.sold_out and reclaimable_now < reclaimable:
         on_demand = max(on_demand, on_demand_now)
+    elif not supply.sold_out and reclaimable_now < planned:
+        required_count = wanted.required_per_data_centre - reclaimable_now
+        on_demand = max(on_demand, min(on_demand_now, required_count))
     counts = {True: reclaimable}
     if on_demand or on_demand_now:
         counts[False] = on_demand
