Limit the size and the time of upstreams' responses

Callers waited until their deadline, and this process stored what arrived, when an upstream sent bytes without end.

Cause: only single lines and the number of header fields were limited (by http.client). Interim responses, the response to another request, a trailer, a refusal's body, an event and a body had the caller's deadline as their only limit. Class of fault: bytes from another process are read without a limit on their size. Change: a reader that counts: 64 KB for heads and for a trailer, 1 MB for a response that belongs to another request, 64 MB for a body, 1 MB for an event, 64 KB and 0.1 s for the rest of a refusal. Bytes that don't begin as a response are rejected at once, also slow ones; so is a declared length over the limit.

--- a/src/peridothitch/adapters/raw_transport.py
+++ b/src/peridothitch/adapters/raw_transport.py
@@ -4,7 +4,7 @@
 import http.client
 import threading
 
-from peridothitch import errors, sockets
+from peridothitch import bounded_reader, errors, sockets
 from peridothitch.ports import raw
 
 __all__ = ["HttpRawTransport"]
@@ -20,78 +20,10 @@
 """Margin before an idle connection's announced end; above any one-way delay."""
 
 _READ_BYTES = 1 << 16
-_MAX_LINE_BYTES = 1 << 16
 _MAX_RESPONSE_HEADS = 2
+_RESPONSE_PREFIX = b"HTTP/1."
 _NO_TIME = datetime.timedelta(0)
-
-
-class _Reader:
-    """Buffered reader of one connection that is used for several responses.
-
-    `http.client` closes the file that it reads a response from and would lose what was
-    read beyond the response's end; this reader retains those bytes.
-    """
-
-    def __init__(self, sock, clock):
-        self._sock = sock
-        self._clock = clock
-        self._buffer = bytearray()
-        self.deadline = None
-        self.at_end = False
-
-    def makefile(self, mode):
-        """Return this reader; `http.client` requests a file from its socket."""
-        return self
-
-    @property
-    def has_buffered(self):
-        return bool(self._buffer)
-
-    def _fill(self):
-        remaining = self.deadline - self._clock.monotonic()
-        if remaining <= _NO_TIME:
-            raise TimeoutError("the deadline has passed")
-        self._sock.settimeout(remaining.total_seconds())
-        data = self._sock.recv(_READ_BYTES)
-        self._buffer += data
-        self.at_end = not data
-        return bool(data)
-
-    def readline(self, limit=-1):
-        max_bytes = limit if limit >= 0 else _MAX_LINE_BYTES
-        while True:
-            end = self._buffer.find(b"\n") + 1
-            if end or len(self._buffer) >= max_bytes:
-                return self._consume(min(end or max_bytes, max_bytes))
-            if not self._fill():
-                return self._consume(len(self._buffer))
-
-    def read(self, size=-1):
-        while size < 0 or len(self._buffer) < size:
-            if not self._fill():
-                break
-        return self._consume(len(self._buffer) if size < 0 else size)
-
-    def read1(self, size=-1):
-        if not self._buffer:
-            self._fill()
-        return self._consume(len(self._buffer) if size < 0 else size)
-
-    def readinto(self, target):
-        data = self.read(len(target))
-        target[: len(data)] = data
-        return len(data)
-
-    def _consume(self, size):
-        data = bytes(self._buffer[:size])
-        del self._buffer[:size]
-        return data
-
-    def flush(self):
-        """Do nothing; `http.client` flushes its file."""
-
-    def close(self):
-        """Do nothing; the connection is closed with its socket."""
+_DEFAULT_LIMITS = raw.ResponseLimits()
 
 
 class _Connection:
@@ -99,7 +31,7 @@
 
     def __init__(self, sock, clock):
         self.sock = sock
-        self.reader = _Reader(sock, clock)
+        self.reader = bounded_reader.BoundedReader(sock, clock)
         self.usable_until = None
 
     def is_usable(self, now):
@@ -149,9 +81,11 @@
     header_codec : peridothitch.ports.forwarding.HeaderCodec
         Determines which request a response belongs to.
     metrics : peridothitch.adapters.metrics.Metrics
+    limits : peridothitch.ports.raw.ResponseLimits
     """
 
-    def __init__(self, clock, header_codec, metrics):
+    def __init__(self, clock, header_codec, metrics, limits=_DEFAULT_LIMITS):
+        self._limits = limits
         self._clock = clock
         self._header_codec = header_codec
         self._metrics = metrics
@@ -163,7 +97,7 @@
         connection = self._pool.acquire(key, self._clock.monotonic())
         if connection is None:
             connection = self._connect(host, call)
-        raw_response = _Response(self._pool, key, connection, self._clock)
+        raw_response = _Response(self._pool, key, connection, self._clock, self._limits)
         on_cancel(raw_response.cancel)
         try:
             self._send(connection, call)
@@ -245,11 +179,14 @@
 def _to_code(error):
     if isinstance(error, TimeoutError):
         return errors.Code.UPSTREAM_SILENT
-    return errors.Code.OUTCOME_UNKNOWN
+    if isinstance(error, OSError | http.client.IncompleteRead):
+        return errors.Code.OUTCOME_UNKNOWN
+    return errors.Code.ANSWER_INVALID
 
 
 class _Response(raw.RawResponse):
-    def __init__(self, pool, key, connection, clock):
+    def __init__(self, pool, key, connection, clock, limits):
+        self._limits = limits
         self._pool = pool
         self._key = key
         self._connection = connection
@@ -264,13 +201,19 @@
         An upstream may send a second response to the previous request; its body is
         discarded.
         """
+        reader = self._connection.reader
         for _ in range(_MAX_RESPONSE_HEADS):
-            response = http.client.HTTPResponse(self._connection.reader, method=method)
+            reader.allow(self._limits.head_bytes, self._limits.head_bytes)
+            # A line without an end would otherwise be read up to the size limit.
+            if not reader.may_start_with(_RESPONSE_PREFIX):
+                raise http.client.BadStatusLine("not an HTTP response")
+            response = http.client.HTTPResponse(reader, method=method)
             response.begin()
             fields = tuple(response.getheaders())
             metadata = header_codec.read_response(fields)
             if not metadata.request_id or metadata.request_id == request_id:
                 break
+            reader.allow(self._limits.discarded_bytes, self._limits.head_bytes)
             response.read()
             if response.will_close:
                 raise http.client.HTTPException("the answer is another request's")
@@ -282,6 +225,9 @@
         self.fields = fields
         self.metadata = metadata
         self.length = _declared_length(response)
+        if (response.length or 0) > self._limits.body_bytes:
+            raise bounded_reader.SizeLimitError(self._limits.body_bytes)
+        reader.allow(self._limits.body_bytes, self._limits.head_bytes)
 
     def set_deadline(self, deadline):
         self._connection.reader.deadline = deadline
--- a/src/peridothitch/gateway/forwarding/delivery.py
+++ b/src/peridothitch/gateway/forwarding/delivery.py
@@ -14,6 +14,7 @@
 _MAX_BUFFERED_BYTES = 1 << 20
 """A body up to this size is forwarded only after it has arrived completely."""
 
+_MAX_EVENT_BYTES = 1 << 20
 _BAD_GATEWAY_STATUS = 502
 _log = logbook.Logger("forwarding")
 
@@ -160,6 +161,12 @@
         try:
             while data := attempt.answer.read_some():
                 events = splitter.feed(data)
+                if len(splitter.pending) > _MAX_EVENT_BYTES:
+                    raise errors.UpstreamError(
+                        errors.Code.ANSWER_INVALID,
+                        f"an event is over {_MAX_EVENT_BYTES} bytes",
+                        errors.Ran.UNKNOWN,
+                    )
                 if events:
                     self._write_events(attempt, events)
             if not self._response_writer.has_begun:
--- a/src/peridothitch/gateway/forwarding/retrying_sender.py
+++ b/src/peridothitch/gateway/forwarding/retrying_sender.py
@@ -31,6 +31,10 @@
 _MIN_ANSWER_TIMEOUT = datetime.timedelta(milliseconds=120)
 """A safe request is sent to another upstream once its answer is this late."""
 
+_MAX_REFUSAL_BYTES = 64 << 10
+_MAX_REFUSAL_TIME = datetime.timedelta(milliseconds=100)
+"""A new connection takes less time than the rest of a refusal after this time."""
+
 _REFUSAL_RETRY_AFTER = datetime.timedelta(milliseconds=300)
 _NO_UPSTREAM_RETRY_AFTER = datetime.timedelta(milliseconds=500)
 _MISDIRECTED_STATUS = 421
@@ -274,10 +278,16 @@
         )
 
     def _read_to_end(self, answer):
-        """Read a refusal to its end, so that its connection can be reused."""
+        """Read a refusal to its end, so that its connection can be reused.
+
+        The rest of a long or slow one is abandoned with its connection.
+        """
+        deadline = self._deps.clock.monotonic() + _MAX_REFUSAL_TIME
+        answer.set_deadline(min(deadline, self._job.deadline))
+        size = 0
         try:
-            while answer.read_some():
-                pass
+            while (data := answer.read_some()) and size <= _MAX_REFUSAL_BYTES:
+                size += len(data)
         except errors.UpstreamError as error:
             _log.debug("refusal incomplete: {}", error.detail)
 
--- a/src/peridothitch/policy/evidence_counter.py
+++ b/src/peridothitch/policy/evidence_counter.py
@@ -18,6 +18,9 @@
         errors.Code.OUTCOME_UNKNOWN,
     }
 )
+_LOST_CODES_WITHOUT_ANSWER = frozenset(
+    {errors.Code.UPSTREAM_REFUSED, errors.Code.ANSWER_INVALID}
+)
 _LOSS_WINDOW = datetime.timedelta(seconds=10)
 _LOSS_DELAY = datetime.timedelta(seconds=1)
 _MAX_LOSS_COUNT = 24
@@ -203,7 +206,7 @@
 def _is_lost(outcome):
     if outcome.code in _LOST_CODES:
         return True
-    return outcome.code is errors.Code.UPSTREAM_REFUSED and not outcome.status
+    return outcome.code in _LOST_CODES_WITHOUT_ANSWER and not outcome.status
 
 
 def _is_timeout(outcome):
--- a/src/peridothitch/ports/raw.py
+++ b/src/peridothitch/ports/raw.py
@@ -4,7 +4,14 @@
 import dataclasses
 import datetime
 
-__all__ = ["ResponseWriter", "RawResponse", "RawCall", "RawRequest", "RawTransport"]
+__all__ = [
+    "RawCall",
+    "RawRequest",
+    "RawResponse",
+    "RawTransport",
+    "ResponseLimits",
+    "ResponseWriter",
+]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -119,6 +126,25 @@
     deadline: datetime.timedelta
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ResponseLimits:
+    """Largest sizes of an upstream's response; larger ones are errors.
+
+    Attributes
+    ----------
+    head_bytes : int
+        Heads that precede a body, interim responses included, or a trailer.
+    body_bytes : int
+        Body with its framing.
+    discarded_bytes : int
+        Response that belongs to another request.
+    """
+
+    head_bytes: int = 64 << 10
+    body_bytes: int = 64 << 20
+    discarded_bytes: int = 1 << 20
+
+
 class RawResponse(abc.ABC):
     """Response of an upstream whose head has been received.
 
