Limit the answers of the platform, the cloud API and engines

Their timeouts bound the wait for the next byte, not the whole answer, so an answer without end was read forever. Change: they read through the same reader, with limits on size and on the whole time. Not changed: the client of etcd and the command line's status, which talk to processes of the operators' own. Result: features/endless_responses, "A call to the platform or to a host has no end": 13 passed; not run on the code before.

--- a/features/endless_responses.feature
+++ b/features/endless_responses.feature
@@ -61,3 +61,24 @@
     And a caller waits for the response to "/charge/1"
     Then the caller gets 502 with code 3010 within 1 seconds
     And the connections to the replicas were closed
+
+  Scenario Outline: A call to the platform or to a host has no end
+    When <callee> sends a response without end in the <place>
+    Then the call fails as <error> within 3 seconds
+    And no callee could send more than <megabytes> megabytes
+
+    Examples:
+      | callee                       | place             | error                 | megabytes |
+      | the platform's store         | interim responses | StoreUnavailableError | 8         |
+      | the platform's store         | body              | StoreUnavailableError | 72        |
+      | the platform's duties        | interim responses | CloudError            | 8         |
+      | the platform's duties        | body              | CloudError            | 72        |
+      | a host that is called        | interim responses | UpstreamError         | 8         |
+      | a host that is called        | body              | UpstreamError         | 72        |
+      | a host that is called        | event             | UpstreamError         | 8         |
+      | a host whose report is read  | interim responses | UpstreamError         | 8         |
+      | a host whose report is read  | body              | UpstreamError         | 8         |
+      | the list of hosts            | interim responses | UpstreamError         | 8         |
+      | the list of hosts            | body              | UpstreamError         | 16        |
+      | the cloud API                | interim responses | CloudError            | 8         |
+      | the cloud API                | body              | CloudError            | 16        |
--- a/features/forwarding_bench.py
+++ b/features/forwarding_bench.py
@@ -187,9 +187,10 @@
             orders_capacity=True,
             bounds=bounds,
         )
-        platform = forward.make_platform(settings)
+        clock = boot_clock.BootClock()
+        platform = forward.make_platform(settings, clock)
         self.store_by_host_id[host_id] = platform.store
-        host = entry_host.ForwardingHost(settings, platform, boot_clock.BootClock())
+        host = entry_host.ForwardingHost(settings, platform, clock)
         host.start()
         self._stack.callback(self.stop_host, host)
         self.hosts.append(host)
--- a/features/steps/endless_responses_steps.py
+++ b/features/steps/endless_responses_steps.py
@@ -1,6 +1,7 @@
 """Steps for replicas whose responses have no end."""
 
 import contextlib
+import datetime
 import json
 import time
 import tracemalloc
@@ -9,6 +10,16 @@
 import endless_server
 import forwarding_bench as benches
 
+from peridothitch import errors
+from peridothitch.adapters import (
+    boot_clock,
+    http_cloud,
+    http_engine_reports,
+    http_transport,
+)
+from peridothitch.platform import duties as platform_duties
+from peridothitch.platform import store as platform_store
+from peridothitch.ports import duties, upstream
 from peridothitch.standins import platform_records
 
 _MEGABYTE = 1 << 20
@@ -158,3 +169,80 @@
         lambda: not any(server.open_connections for server in context.servers),
         "the connections are closed",
     )
+
+
+def _read_store(address):
+    platform_store.PlatformStore(address, boot_clock.BootClock()).range("op/")
+
+
+def _report_usage(address):
+    client = platform_duties.HttpDuties(address, "edge-1", boot_clock.BootClock())
+    client.report_usage(
+        duties.UsageReport(window=1, count_by_customer={"customer": 1}), 1
+    )
+
+
+def _call_host(address):
+    call = upstream.Call(
+        method="POST", path="/", body=b"", header_by_name={}, **_CALL_TIMEOUTS
+    )
+    exchange = http_transport.HttpTransport().open(_make_host(address), call)
+    if "event-stream" in exchange.header_by_name.get("content-type", ""):
+        list(exchange.events())
+    exchange.read()
+
+
+def _read_report(address):
+    http_engine_reports.HttpEngineReports().read(_make_host(address), 0)
+
+
+def _make_host(address):
+    return upstream.Host(
+        host_id="endless",
+        address=address,
+        service="till",
+        version="v1",
+        data_centre="lothian-a",
+    )
+
+
+_CALL_TIMEOUTS = {
+    "first_byte_timeout": datetime.timedelta(seconds=2),
+    "gap_timeout": datetime.timedelta(seconds=2),
+}
+_CALL_BY_CALLEE = {
+    "the platform's store": _read_store,
+    "the platform's duties": _report_usage,
+    "a host that is called": _call_host,
+    "a host whose report is read": _read_report,
+    "the list of hosts": lambda address: http_transport.HttpHostList(address).read(),
+    "the cloud API": lambda address: http_cloud.HttpCloud(address).offers(),
+}
+_PLACE_BY_NAME = {"body": "body without length", "event": "event of a stream"}
+
+
+@behave.when("{callee} sends a response without end in the {place}")
+def call(context, callee, place):
+    response = _RESPONSE_BY_PLACE[_PLACE_BY_NAME.get(place, place)]
+    server = endless_server.EndlessServer(*response)
+    context.add_cleanup(server.close)
+    context.servers.append(server)
+    began = time.monotonic()
+    context.error = None
+    try:
+        _CALL_BY_CALLEE[callee](server.address)
+    except errors.CodedError as error:
+        context.error = error
+    context.elapsed_seconds = time.monotonic() - began
+
+
+@behave.then("the call fails as {name} within {seconds:d} seconds")
+def check_error(context, name, seconds):
+    assert type(context.error).__name__ == name, repr(context.error)
+    assert context.elapsed_seconds < seconds, context.elapsed_seconds
+
+
+@behave.then("no callee could send more than {size:d} megabytes")
+def check_sent_by_callee(context, size):
+    check_sent(context, size)
+    check_closed(context)
--- a/src/peridothitch/adapters/http_cloud.py
+++ b/src/peridothitch/adapters/http_cloud.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from peridothitch import errors
+from peridothitch import bounded_reader, errors
+from peridothitch.adapters import boot_clock
 from peridothitch.ports import cloud
 
 __all__ = ["FENCING_HEADER", "HttpCloud"]
@@ -15,6 +16,7 @@
 """Request header with the lease's fencing number."""
 
 _TIMEOUT = datetime.timedelta(seconds=1)
+_MAX_RESPONSE_BYTES = 8 << 20
 _JSON_CONTENT_TYPE = "application/json"
 
 
@@ -27,11 +29,13 @@
         IP address and port.
     timeout : datetime.timedelta
         Limit on the duration of one call; shorter than the lease's longest order.
+    clock : peridothitch.ports.clock.Clock or None
     """
 
-    def __init__(self, address, timeout=_TIMEOUT):
+    def __init__(self, address, timeout=_TIMEOUT, clock=None):
         self._address = address
         self._timeout = timeout
+        self._clock = clock or boot_clock.BootClock()
 
     def offers(self):
         """Read the current offers."""
@@ -66,8 +70,14 @@
             raise _to_error(errors.Code.CLOUD_UNAVAILABLE, error) from None
         try:
             connection.request(method, path, body, headers)
-            response = connection.getresponse()
-            payload = response.read()
+            with bounded_reader.open_response(
+                connection,
+                self._clock,
+                _MAX_RESPONSE_BYTES,
+                self._timeout,
+                self._timeout,
+            ) as response:
+                payload = response.read()
         except (OSError, http.client.HTTPException) as error:
             raise _to_error(errors.Code.CLOUD_UNCLEAR, error) from None
         finally:
--- a/src/peridothitch/adapters/http_engine_reports.py
+++ b/src/peridothitch/adapters/http_engine_reports.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from peridothitch import errors
+from peridothitch import bounded_reader, errors
+from peridothitch.adapters import boot_clock
 from peridothitch.policy import cache_estimates, load_estimates
 from peridothitch.ports import engine_reports
 
@@ -47,10 +48,12 @@
     ----------
     timeout : datetime.timedelta
         Limit on the duration of one read.
+    clock : peridothitch.ports.clock.Clock or None
     """
 
-    def __init__(self, timeout=_TIMEOUT):
+    def __init__(self, timeout=_TIMEOUT, clock=None):
         self._timeout = timeout
+        self._clock = clock or boot_clock.BootClock()
 
     def read(self, host, after_sequence):
         """Read the reports of a host."""
@@ -60,8 +63,14 @@
         )
         try:
             connection.request("GET", _REPORT_PATH.format(after_sequence))
-            response = connection.getresponse()
-            body = response.read(_MAX_BODY_BYTES)
+            with bounded_reader.open_response(
+                connection,
+                self._clock,
+                _MAX_BODY_BYTES,
+                self._timeout,
+                self._timeout,
+            ) as response:
+                body = response.read()
             if response.status != http.HTTPStatus.OK:
                 raise _failure(host, f"status {response.status}")
             found = msgspec.json.decode(body, type=_Report)
--- a/src/peridothitch/adapters/http_transport.py
+++ b/src/peridothitch/adapters/http_transport.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from peridothitch import errors
+from peridothitch import bounded_reader, errors
+from peridothitch.adapters import boot_clock
 from peridothitch.ports import upstream
 
 __all__ = ["HttpHostList", "HttpTransport"]
@@ -16,6 +17,8 @@
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 _MAX_IDLE_AGE = datetime.timedelta(seconds=20)
 _MAX_EVENT_BYTES = 1 << 20
+_MAX_RESPONSE_BYTES = 64 << 20
+_MAX_HOST_LIST_BYTES = 8 << 20
 _READ_BYTES = 1 << 16
 _EVENT_END = re.compile(rb"\n\r?\n")
 
@@ -51,20 +54,27 @@
     ----------
     connect_timeout : datetime.timedelta
         Limit on the time for opening a connection.
+    clock : peridothitch.ports.clock.Clock or None
     """
 
-    def __init__(self, connect_timeout=_CONNECT_TIMEOUT):
+    def __init__(self, connect_timeout=_CONNECT_TIMEOUT, clock=None):
+        self._clock = clock or boot_clock.BootClock()
         self._connect_timeout = connect_timeout
         self._pool = _Pool()
 
     def open(self, host, call):
         """Send `call` to `host` on a new or pooled connection."""
         connection = self._pool.acquire(host.address) or self._connect(host)
-        # `http.client` detaches the socket if the connection ends with the response.
-        sock = connection.sock
-        sock.settimeout(call.first_byte_timeout.total_seconds())
+        connection.sock.settimeout(call.first_byte_timeout.total_seconds())
         try:
             connection.request(call.method, call.path, call.body, call.header_by_name)
+            reader = bounded_reader.limit_response(
+                connection,
+                self._clock,
+                _MAX_RESPONSE_BYTES,
+                call.first_byte_timeout,
+                call.first_byte_timeout,
+            )
             response = connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
@@ -73,8 +83,8 @@
                 f"{host.host_id}: {error!r}",
                 errors.Ran.UNKNOWN,
             ) from None
-        sock.settimeout(call.gap_timeout.total_seconds())
-        return _HttpExchange(self._pool, host.address, connection, response)
+        reader.deadline, reader.max_wait = None, call.gap_timeout
+        return _HttpExchange(self._pool, host.address, connection, response, reader)
 
     def probe(self, host, timeout):
         """Send `host` a request on a new connection; any response counts."""
@@ -84,12 +94,14 @@
         )
         try:
             connection.request("HEAD", "/")
-            connection.getresponse()
+            with bounded_reader.open_response(
+                connection, self._clock, _MAX_RESPONSE_BYTES, timeout, timeout
+            ):
+                return True
         except (OSError, http.client.HTTPException):
             return False
         finally:
             connection.close()
-        return True
 
     def _connect(self, host):
         name, _, port = host.address.rpartition(":")
@@ -108,16 +120,20 @@
 
 
 def _to_code(error, default_code):
-    timed_out = isinstance(error, TimeoutError)
-    return errors.Code.UPSTREAM_SILENT if timed_out else default_code
+    if isinstance(error, TimeoutError):
+        return errors.Code.UPSTREAM_SILENT
+    if isinstance(error, bounded_reader.SizeLimitError):
+        return errors.Code.ANSWER_INVALID
+    return default_code
 
 
 class _HttpExchange(upstream.Exchange):
-    def __init__(self, pool, address, connection, response):
+    def __init__(self, pool, address, connection, response, reader):
         self._pool = pool
         self._address = address
         self._connection = connection
         self._response = response
+        self._reader = reader
         self._finished = False
         self.status = response.status
         self.header_by_name = {
@@ -163,7 +179,8 @@
             raise self._abort(http.client.IncompleteRead(b""))
         self._finished = True
         self._response.close()
-        if self._response.will_close:
+        # Bytes beyond the response's end belong to no request.
+        if self._response.will_close or self._reader.has_buffered:
             self._close()
             return
         self._pool.release(self._address, self._connection)
@@ -196,11 +213,13 @@
         IP address and port.
     timeout : datetime.timedelta
         Limit on the duration of one read.
+    clock : peridothitch.ports.clock.Clock or None
     """
 
-    def __init__(self, address, timeout=datetime.timedelta(seconds=2)):
+    def __init__(self, address, timeout=datetime.timedelta(seconds=2), clock=None):
         self._address = address
         self._timeout = timeout
+        self._clock = clock or boot_clock.BootClock()
 
     def read(self):
         """Read the list."""
@@ -210,7 +229,14 @@
         )
         try:
             connection.request("GET", "/v1/hosts")
-            payload = connection.getresponse().read()
+            with bounded_reader.open_response(
+                connection,
+                self._clock,
+                _MAX_HOST_LIST_BYTES,
+                self._timeout,
+                self._timeout,
+            ) as response:
+                payload = response.read()
             hosts = msgspec.json.decode(payload, type=list[upstream.Host])
         except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
             raise errors.UpstreamError(
--- a/src/peridothitch/cli/forward.py
+++ b/src/peridothitch/cli/forward.py
@@ -61,10 +61,11 @@
     stream = logs.BoundedStream(sys.stdout)
     logs.install(log_format, stream)
     ip_address = entry_settings.callers_address.rpartition(":")[0]
+    clock = boot_clock.BootClock()
     forwarding_host = entry_host.ForwardingHost(
         entry_settings,
-        make_platform(entry_settings),
-        boot_clock.BootClock(),
+        make_platform(entry_settings, clock),
+        clock,
         f"{ip_address}:{metrics_port}" if metrics_port else "",
     )
     forwarding_host.start()
@@ -81,15 +82,15 @@
     os._exit(0)
 
 
-def make_platform(entry_settings):
+def make_platform(entry_settings, clock):
     """Return the `entry_host.Platform` of `EntryHostSettings`."""
     duties_client = None
     if entry_settings.duties_address:
         duties_client = duties.HttpDuties(
-            entry_settings.duties_address, entry_settings.host_id
+            entry_settings.duties_address, entry_settings.host_id, clock
         )
     return entry_host.Platform(
-        store=store.PlatformStore(entry_settings.store_address),
+        store=store.PlatformStore(entry_settings.store_address, clock),
         record_codec=record_codec.PlatformRecordCodec(
             entry_settings.region_by_data_centre
         ),
--- a/src/peridothitch/cli/platform_demo.py
+++ b/src/peridothitch/cli/platform_demo.py
@@ -64,7 +64,7 @@
             bounds=_BOUNDS,
         )
         self._host = entry_host.ForwardingHost(
-            settings, forward.make_platform(settings), clock
+            settings, forward.make_platform(settings, clock), clock
         )
 
     @property
--- a/src/peridothitch/platform/client.py
+++ b/src/peridothitch/platform/client.py
@@ -9,7 +9,7 @@
 import logbook
 import msgspec
 
-from peridothitch import errors, sockets
+from peridothitch import bounded_reader, errors, sockets
 
 __all__ = ["Answer", "CallError", "Client", "to_store_error"]
 
@@ -19,6 +19,13 @@
 _MAX_IDLE_CONNECTIONS = 4
 """More calls than that are rarely in progress at once."""
 
+_MAX_ANSWER_BYTES = 64 << 20
+"""Above the largest configuration by a wide margin."""
+
+_MAX_TRANSFER_TIME = datetime.timedelta(seconds=30)
+"""For an answer whose first byte has arrived; the largest one takes 54 s at 10 Mbit/s,
+the largest configuration a tenth of that."""
+
 _log = logbook.Logger(__name__)
 
 
@@ -64,10 +71,12 @@
     ----------
     address : str
         IP number and port.
+    clock : peridothitch.ports.clock.Clock
     """
 
-    def __init__(self, address):
+    def __init__(self, address, clock):
         self._address = address
+        self._clock = clock
         self._lock = threading.Lock()
         self._idle = collections.deque()
         self._busy = set()
@@ -80,7 +89,7 @@
         ----------
         method, path : str
         timeout : datetime.timedelta
-            Longest wait for the answer.
+            Longest wait for the answer, and between parts of it.
         query : dict of str to str or int, or None
         body : object or None
             Sent as JSON.
@@ -105,8 +114,14 @@
         self._add_busy(sock)
         try:
             connection.request(method, target, payload, sent_headers)
-            response = connection.getresponse()
-            content = response.read()
+            with bounded_reader.open_response(
+                connection,
+                self._clock,
+                _MAX_ANSWER_BYTES,
+                timeout,
+                timeout + _MAX_TRANSFER_TIME,
+            ) as response:
+                content = response.read()
         except (OSError, http.client.HTTPException, ValueError) as error:
             connection.close()
             raise CallError(f"{method} {path}: {error!r}", True) from None
--- a/src/peridothitch/platform/duties.py
+++ b/src/peridothitch/platform/duties.py
@@ -30,10 +30,11 @@
         IP number and port.
     holder : str
         Name of this host.
+    clock : peridothitch.ports.clock.Clock
     """
 
-    def __init__(self, address, holder):
-        self._client = client.Client(address)
+    def __init__(self, address, holder, clock):
+        self._client = client.Client(address, clock)
         self._holder = holder
 
     def close(self):
--- a/src/peridothitch/platform/store.py
+++ b/src/peridothitch/platform/store.py
@@ -39,10 +39,11 @@
     ----------
     address : str
         IP number and port.
+    clock : peridothitch.ports.clock.Clock
     """
 
-    def __init__(self, address):
-        self._client = client.Client(address)
+    def __init__(self, address, clock):
+        self._client = client.Client(address, clock)
 
     def close(self):
         """Close the idle connections."""
