Prove no version while the old one is overloaded

Cause: an answer counts as slow if it takes longer than the slowest tenth of the old version's answers. The old hosts were overloaded, a quarter to a third of their answers late, and the new ones nearly idle, so 1 of 25 slow answers counted as slow. No evidence against a version was taken for proof of it. Class of fault: a comparison that has lost its power is read as a pass. Change: hosts count how many of the old version's attempts were late by the route's objective. Above a tenth, where the limit for slow lies beyond the objective, a version is not proved; at the end of its time the move is undone. Result: features/ordered_moves, "A slow version is kept because the old one is overloaded": completed within 40 s before, rolled back now.

--- a/features/move_fleet.py
+++ b/features/move_fleet.py
@@ -20,6 +20,7 @@
 SECOND = datetime.timedelta(seconds=1)
 START = datetime.datetime(2026, 3, 2, 9, tzinfo=datetime.UTC)
 TICK = datetime.timedelta(milliseconds=500)
+LATENCY_OBJECTIVE = 0.8 * SECOND
 WINDOW = datetime.timedelta(minutes=6)
 SERVICE = "assistant"
 FACT_KINDS = ("move-record", "move-in-force", "move-evidence", "condemned")
@@ -206,6 +207,7 @@
         self.exposed = collections.Counter()
         self.requests = 0
         self.rejected = 0
+        self.old_slowdown = 1.0
         self.exposed_unproved = 0
         self.condemned_at = None
         self.last_new_version_at = None
@@ -283,7 +285,7 @@
             self.rejected += 1
             return
         self.exposed[version] += 1
-        failing, slowdown = 0.002, 1.0
+        failing, slowdown = 0.002, self.old_slowdown
         if version == "v2":
             self.last_new_version_at = self.clock.elapsed
             self.exposed_unproved += not self._is_proved
@@ -308,6 +310,7 @@
             status=500 if failed else 200,
             code=errors.Code.UPSTREAM_FAILED if failed else None,
             token_count=0 if failed else 50,
+            latency_objective=LATENCY_OBJECTIVE,
         )
         due = self.clock.elapsed + duration
         entry = (due, next(self._serial), host_id, outcome)
--- a/features/ordered_moves.feature
+++ b/features/ordered_moves.feature
@@ -65,3 +65,15 @@
     And the window of the move has passed
     Then at most a tenth of all requests and 50 more went to it
     And requests were rejected meanwhile
+
+  Scenario Outline: A slow version is kept because the old one is overloaded
+    Given operators order a move within <window> seconds at 60 requests a second to a version that is slow at once
+    When the old version is overloaded
+    And the window of the move has passed
+    Then the reported state was "in_progress" and then "rolled_back" in time
+    And at most a tenth of all requests and 50 more went to it
+
+    Examples:
+      | window |
+      | 15     |
+      | 40     |
--- a/features/steps/ordered_moves_steps.py
+++ b/features/steps/ordered_moves_steps.py
@@ -156,3 +156,8 @@
 @behave.then("requests were rejected meanwhile")
 def check_rejected(context):
     assert context.fleet.rejected > 0, context.fleet.rejected
+
+
+@behave.when("the old version is overloaded")
+def overload_old_version(context):
+    context.fleet.old_slowdown = 4.0
--- a/src/peridothitch/gateway/active_move.py
+++ b/src/peridothitch/gateway/active_move.py
@@ -107,6 +107,7 @@
         self._has_new_adverse_events = False
         self._evaluated_sequence_by_key = {}
         self._collected_since = math.inf
+        self._old_late_share = 0.0
 
     @property
     def is_canary_host(self):
@@ -215,6 +216,7 @@
             for fact in fact_by_key.values()
         ]
         self._collected_since = min((one.since for one in evidences), default=math.inf)
+        self._old_late_share = evidence.old_late_share(evidences)
         merged = evidence.merge(evidences)
         finding = self._comparison.update(
             merged, self.record.elapsed(now), self._fleet.new_host_share
@@ -250,4 +252,5 @@
             undersampled_routes=undersampled,
             new_host_count=self._fleet.new_host_count,
             collected_since=self._collected_since,
+            old_late_share=self._old_late_share,
         )
--- a/src/peridothitch/gateway/forwarding/attempt.py
+++ b/src/peridothitch/gateway/forwarding/attempt.py
@@ -112,6 +112,7 @@
             code=code,
             ran=ran,
             token_count=self._event_count,
+            latency_objective=job.route.latency_objective,
             host_leaving=not self._deps.upstreams.is_live(host),
         )
         self._deps.moves.observe(outcome)
--- a/src/peridothitch/policy/evidence.py
+++ b/src/peridothitch/policy/evidence.py
@@ -25,6 +25,7 @@
     "SequentialTest",
     "Stratum",
     "merge",
+    "old_late_share",
 ]
 
 MAX_FALSE_ROLLBACK_PROBABILITY = 0.004
@@ -85,6 +86,8 @@
         Answers whose mean token gap was timed, and the slow ones.
     starts : int
         Requests for which the version was picked.
+    late : int
+        Attempts that were not answered within the latency objective.
     """
 
     attempts: int = 0
@@ -94,6 +97,7 @@
     gaps: int = 0
     slow_gaps: int = 0
     starts: int = 0
+    late: int = 0
 
     def by_measure(self):
         """Return `Counts` by measure."""
@@ -174,6 +178,18 @@
     }
 
 
+def old_late_share(evidences):
+    """Return the share of the old version's attempts that were late, 0 to 1.
+
+    Parameters
+    ----------
+    evidences : iterable of HostEvidence
+    """
+    counts = [counts for evidence in evidences for counts in evidence.old.values()]
+    late = sum(each.late for each in counts)
+    return min(1.0, late / max(1, sum(each.attempts for each in counts)))
+
+
 def _sum_routes(counts_by_routes):
     rows_by_route = {}
     for counts_by_route in counts_by_routes:
--- a/src/peridothitch/policy/evidence_counter.py
+++ b/src/peridothitch/policy/evidence_counter.py
@@ -164,12 +164,12 @@
         return False
 
     def _add_timeout(self, outcome):
-        self._add(outcome.version, outcome.route, firsts=1, slow_firsts=1)
+        self._add(outcome.version, outcome.route, firsts=1, slow_firsts=1, late=1)
         return self._is_new(outcome)
 
     def _add_answer(self, outcome):
         failed = outcome.status >= _FAILED_STATUS or outcome.code is not None
-        change = {"attempts": 1, "failed": int(failed)}
+        change = {"attempts": 1, "failed": int(failed), "late": int(_is_late(outcome))}
         if not failed and outcome.first_byte is not None:
             first = outcome.first_byte.total_seconds()
             slow = self._compare_with_threshold(self._first_by_route, outcome, first)
@@ -215,6 +215,12 @@
     return outcome.first_byte is None and outcome.ran is not errors.Ran.NO
 
 
+def _is_late(outcome):
+    if outcome.first_byte is None or outcome.latency_objective is None:
+        return False
+    return outcome.first_byte > outcome.latency_objective
+
+
 def _is_answer(outcome):
     return outcome.status or outcome.code is errors.Code.UPSTREAM_FAILED
 
--- a/src/peridothitch/policy/moves.py
+++ b/src/peridothitch/policy/moves.py
@@ -39,6 +39,10 @@
 _RAMP_STEP_WINDOW_SHARE = 0.025
 _RAMP_REMAINING_SHARE = 0.8
 _HOLD_EVIDENCE_RATIO = 0.02
+_MAX_OLD_LATE_SHARE = 0.1
+"""Above it, the old version's slowest tenth, which bounds what counts as slow, is late
+itself: a slow new version does not stand out from an overloaded old one."""
+
 _LATEST_COLLECTION_START_SHARE = 0.5
 _ID_CHARACTER_COUNT = 16
 
@@ -129,6 +133,8 @@
         Live hosts of the new version.
     collected_since : float
         When the collection of evidence started, in seconds since the Unix epoch.
+    old_late_share : float
+        Share of the old version's attempts that were late.
     """
 
     condemned: str = ""
@@ -136,6 +142,7 @@
     undersampled_routes: tuple[str, ...] = ()
     new_host_count: int = 1
     collected_since: float = 0.0
+    old_late_share: float = 0.0
 
 
 class Prove(msgspec.Struct, frozen=True):
@@ -282,6 +289,8 @@
         or evidence_summary.evidence_ratio >= _HOLD_EVIDENCE_RATIO
     ):
         return None
+    if evidence_summary.old_late_share > _MAX_OLD_LATE_SHARE:
+        return None
     if evidence_summary.collected_since > _latest_collection_start(record).timestamp():
         return None
     if evidence_summary.undersampled_routes and elapsed < _SAMPLE_WAIT_END_SHARE:
--- a/src/peridothitch/ports/outcomes.py
+++ b/src/peridothitch/ports/outcomes.py
@@ -39,6 +39,8 @@
         Tokens received.
     host_leaving : bool
         Whether the upstream was being reclaimed when the attempt ended.
+    latency_objective : datetime.timedelta or None
+        Time to the first byte within which the answer is on time, None if unknown.
     caused_by_request : bool
         Whether a quarantined request caused the failure, so that it says nothing
         about the version.
@@ -59,6 +61,7 @@
     ran: errors.Ran = errors.Ran.YES
     token_count: int = 0
     host_leaving: bool = False
+    latency_objective: datetime.timedelta | None = None
     caused_by_request: bool = False
 
 
