Ask the store for new moves before hosts are ordered

Cause: the holder of the duties hears of a move up to 1.3 s after operators ordered it; the hosts of the new version are started at once. Class of fault: acting on a view of the store without a check that it is current. Change: before an order, the holder reads the operators' orders for moves; if there is one that it does not know yet, it sends nothing until it does. Without an answer of the store it goes by what it knows.

--- a/features/duties.feature
+++ b/features/duties.feature
@@ -65,6 +65,16 @@
       | 12   |
       | 8    |
 
+  Scenario: Hosts are given back before the lease holder has heard of a move
+    Given a fleet that keeps 8 upstream hosts busy in 3 data centres
+    And at most 12 hosts may run in each of them
+    And a move starts 8 hosts of an unproved version in each of them
+    And the lease holder has not heard of the move
+    When requests keep 6 hosts busy for 2 seconds
+    And the lease holder hears of the move
+    And requests keep 6 hosts busy for 20 seconds
+    Then all 8 hosts of the old version in each of them remain
+
   Scenario: A full data centre loses all on-demand hosts when a move ends
     Given a fleet that keeps 4 upstream hosts busy in 3 data centres
     And at most 4 hosts may run in each of them
--- a/features/steps/capacity_duty_steps.py
+++ b/features/steps/capacity_duty_steps.py
@@ -83,6 +83,10 @@
 
     versions = None
     is_moving = False
+    is_unknown = False
+
+    def has_unknown_orders(self):
+        return self.is_unknown
 
     def versions_for_capacity(self, service):
         return self.versions
@@ -257,6 +261,20 @@
     assert set(counts.values()) == {count}, (counts, context.platform.orders)
 
 
+@behave.given("the lease holder has not heard of the move")
+def hide_move(context):
+    context.moves.versions = None
+    context.moves.is_moving = False
+    context.moves.is_unknown = True
+
+
+@behave.when("the lease holder hears of the move")
+def learn_move(context):
+    context.moves.versions = frozenset({"v1"})
+    context.moves.is_moving = True
+    context.moves.is_unknown = False
+
+
 @behave.when("the move is over and {seconds:d} seconds pass")
 def end_move(context, seconds):
     context.platform.new_count_by_data_centre.clear()
--- a/src/peridothitch/gateway/forwarding/capacity_duty.py
+++ b/src/peridothitch/gateway/forwarding/capacity_duty.py
@@ -122,13 +122,26 @@
         data_centres = sorted(self._settings.region_by_data_centre)
         supply = self._supply(service.name)
         wanted = capacity_plan.plan(busy, service.scaling, data_centres, supply)
-        for data_centre in data_centres:
-            for order in capacity_plan.next_orders(
-                service, data_centre, wanted, supply
-            ):
-                place = data_centre, order.reclaimable
-                present = supply.live[place] + supply.unused[place]
-                self._order(order, present, busy)
+        orders = [
+            order
+            for data_centre in data_centres
+            for order in capacity_plan.next_orders(service, data_centre, wanted, supply)
+        ]
+        due_orders = [
+            (order, present)
+            for order in orders
+            if self._is_due(order, present := _count_present(order, supply))
+        ]
+        for order, present in due_orders:
+            # The platform starts a new version's hosts when a move is ordered.
+            if self._moves.has_unknown_orders():
+                return
+            self._order(order, present, busy)
+
+    def _is_due(self, order, present):
+        now = self._clock.monotonic()
+        count, due = self._due_by_order.get(_order_key(order), (None, now))
+        return count != order.count or (present != order.count and now >= due)
 
     def _supply(self, service):
         versions = self._moves.versions_for_capacity(service)
@@ -162,10 +175,7 @@
 
     def _order(self, order, present, busy):
         now = self._clock.monotonic()
-        order_key = order.service, order.data_centre, order.reclaimable
-        count, due = self._due_by_order.get(order_key, (None, now))
-        if count == order.count and (present == order.count or now < due):
-            return
+        order_key = _order_key(order)
         permit = self._lease.permit()
         try:
             answer = self._client.order_capacity(order, permit.fencing_number)
@@ -196,3 +206,12 @@
             accepted=answer.accepted,
             detail=answer.detail,
         )
+
+
+def _order_key(order):
+    return order.service, order.data_centre, order.reclaimable
+
+
+def _count_present(order, supply):
+    place = order.data_centre, order.reclaimable
+    return supply.live[place] + supply.unused[place]
--- a/src/peridothitch/gateway/forwarding/catalogue.py
+++ b/src/peridothitch/gateway/forwarding/catalogue.py
@@ -66,6 +66,11 @@
         """Whether rules and hosts are loaded."""
         return self.table is not None and self._hosts.is_loaded
 
+    @property
+    def operators_revision(self):
+        """Store revision up to which changes of operators' records are applied."""
+        return self._operators.revision
+
     @property
     def hosts_revision(self):
         """Store revision up to which changes of the hosts are applied."""
--- a/src/peridothitch/gateway/forwarding/move_records.py
+++ b/src/peridothitch/gateway/forwarding/move_records.py
@@ -54,6 +54,16 @@
         self._codec = codec
         self._decoded_by_key = {}
 
+    def has_newer_orders(self, revision):
+        """Return whether the store has orders of operators after a revision.
+
+        Raises
+        ------
+        peridothitch.errors.StoreError
+        """
+        found = self._store.range(self._codec.move_prefix)
+        return any(item.mod_revision > revision for item in found.item_by_key.values())
+
     def find(self, order):
         """Return the `PersistedMove` of an `OrderedMove`, None if not started."""
         item = self._leases.items().get(_PREFIX + order.service)
--- a/src/peridothitch/gateway/forwarding/version_moves.py
+++ b/src/peridothitch/gateway/forwarding/version_moves.py
@@ -12,6 +12,7 @@
 
 import logbook
 
+from peridothitch import errors
 from peridothitch.gateway import active_move, move_evidence
 from peridothitch.policy import moves
 from peridothitch.ports import record_codec, upstream
@@ -111,6 +112,17 @@
         persisted = self._records.find(order)
         return persisted is None or persisted.told is record_codec.MoveState.RUNNING
 
+    def has_unknown_orders(self):
+        """Return whether operators ordered a move that this host does not know yet.
+
+        Reads the store. If it does not answer, hosts are ordered by what is known.
+        """
+        try:
+            return self._records.has_newer_orders(self._catalogue.operators_revision)
+        except errors.StoreError as error:
+            _log.info("orders for moves not read", reason=error.detail)
+            return False
+
     def _is_proved(self, order):
         persisted = self._records.find(order)
         return (
--- a/src/peridothitch/platform/record_codec.py
+++ b/src/peridothitch/platform/record_codec.py
@@ -125,6 +125,7 @@
 
     operator_prefix = "op/"
     table_key = "op/config"
+    move_prefix = _MOVES
     host_prefix = _HOSTS
 
     def __init__(self, region_by_data_centre):
--- a/src/peridothitch/ports/record_codec.py
+++ b/src/peridothitch/ports/record_codec.py
@@ -46,12 +46,15 @@
         Key prefix of the operators' records.
     table_key : str
         Key of the current routing table.
+    move_prefix : str
+        Key prefix of the operators' orders for moves, below `operator_prefix`.
     host_prefix : str
         Key prefix of the upstream hosts' registrations.
     """
 
     operator_prefix: str
     table_key: str
+    move_prefix: str
     host_prefix: str
 
     @abc.abstractmethod
