--- a/src/peridothitch/gateway/active_move.py
+++ b/src/peridothitch/gateway/active_move.py
@@ -216,7 +216,7 @@
             for fact in fact_by_key.values()
         ]
         self._collected_since = min((one.since for one in evidences), default=math.inf)
-        self._old_late_share = evidence.old_late_share(evidences)
+        self._old_late_share = evidence_counter.old_late_share(evidences)
         merged = evidence.merge(evidences)
         finding = self._comparison.update(
             merged, self.record.elapsed(now), self._fleet.new_host_share
--- a/src/peridothitch/policy/evidence.py
+++ b/src/peridothitch/policy/evidence.py
@@ -25,7 +25,6 @@
     "SequentialTest",
     "Stratum",
     "merge",
-    "old_late_share",
 ]
 
 MAX_FALSE_ROLLBACK_PROBABILITY = 0.004
@@ -178,18 +177,6 @@
     }
 
 
-def old_late_share(evidences):
-    """Return the share of the old version's attempts that were late, 0 to 1.
-
-    Parameters
-    ----------
-    evidences : iterable of HostEvidence
-    """
-    counts = [counts for evidence in evidences for counts in evidence.old.values()]
-    late = sum(each.late for each in counts)
-    return min(1.0, late / max(1, sum(each.attempts for each in counts)))
-
-
 def _sum_routes(counts_by_routes):
     rows_by_route = {}
     for counts_by_route in counts_by_routes:
--- a/src/peridothitch/policy/evidence_counter.py
+++ b/src/peridothitch/policy/evidence_counter.py
@@ -9,7 +9,7 @@
 from peridothitch import errors
 from peridothitch.policy import evidence
 
-__all__ = ["EvidenceCounter"]
+__all__ = ["EvidenceCounter", "old_late_share"]
 
 _TIMEOUT_CODES = frozenset({errors.Code.DEADLINE_EXCEEDED, errors.Code.UPSTREAM_SILENT})
 _LOST_CODES = frozenset(
@@ -197,6 +197,18 @@
         counts_by_route[route] = msgspec.structs.replace(counts, **sums)
 
 
+def old_late_share(evidences):
+    """Return the share of the old version's attempts that were late, 0 to 1.
+
+    Parameters
+    ----------
+    evidences : iterable of peridothitch.policy.evidence.HostEvidence
+    """
+    counts = [counts for evidence in evidences for counts in evidence.old.values()]
+    late = sum(each.late for each in counts)
+    return min(1.0, late / max(1, sum(each.attempts for each in counts)))
+
+
 def _is_excused(outcome):
     if outcome.code is errors.Code.CONNECTION_SILENT:
         return True
