Measure what is slow by answers from before a move, too

Cause: an entry host calls an answer slow only after 20 answers of the old version on the same route since the move began. Class of fault: a figure of one host that needs the requests of a whole fleet. Change: hosts collect the usual latencies at all times, and a move begins with them.

--- a/features/ordered_move_fleet.py
+++ b/features/ordered_move_fleet.py
@@ -10,7 +10,7 @@
 from peridothitch.coordination import lease, mirror, ranked_leadership
 from peridothitch.gateway.forwarding import move_duty, move_records, version_moves
 from peridothitch.platform import record_codec as platform_record_codec
-from peridothitch.ports import forwarding, record_codec
+from peridothitch.ports import forwarding, outcomes, record_codec
 
 STATUS_KEY = f"status/rollout/{move_fleet.SERVICE}"
 EXPOSED_SHARE = 0.1
@@ -66,8 +66,28 @@
     def observe(self, outcome):
         """Record one outcome."""
         self._fleet.record_outcome(outcome)
-        if self._moves.is_watched(outcome.service):
-            self._moves.observe(outcome)
+        self._moves.observe(outcome)
+
+    def count_slow_answer(self, first_byte):
+        """Observe an answer of the new version; returns how many counted as slow."""
+        active = self._moves._active_by_service[move_fleet.SERVICE]
+        active.observe(
+            outcomes.AttemptOutcome(
+                request_id="",
+                service=move_fleet.SERVICE,
+                version="v2",
+                route="chat",
+                customer="",
+                host_id="",
+                data_centre="",
+                ended=self._fleet.clock.now(),
+                first_byte=first_byte,
+                duration=first_byte,
+                status=200,
+            )
+        )
+        counts, _ = active.report(self._fleet.clock.now())
+        return counts.new["chat"].slow_firsts
 
     def tick(self):
         """Run one tick of the host's background threads."""
@@ -83,6 +103,17 @@
 class OrderedMoveFleet(move_fleet.Fleet):
     """A fleet whose operators order moves and read their states.
 
+    Parameters
+    ----------
+    seed : int
+    version : move_fleet.Version
+    window : datetime.timedelta
+    rate : float
+        Requests a second.
+    host_count : int
+    served : datetime.timedelta or None
+        How long the fleet served before the move is ordered.
+
     Attributes
     ----------
     reported_states : list of (float, str)
@@ -91,7 +122,7 @@
         Times of the bad answers of the new version.
     """
 
-    def __init__(self, seed, version, window, rate):
+    def __init__(self, seed, version, window, rate, host_count=7, served=None):
         self.move_by_service = {}
         self.reported_states = []
         self.bad_answer_times = []
@@ -114,7 +145,11 @@
             for name in ("chat", "booking")
         ]
         self.table = types.SimpleNamespace(routes=routes)
-        super().__init__(seed, version, rate=rate, window=window)
+        self.is_new_version_started = False
+        super().__init__(seed, version, host_count, rate=rate, window=window)
+        if served is not None:
+            self.run(served)
+        self.is_new_version_started = True
         self.order("v2")
 
     def order(self, version):
@@ -134,6 +169,7 @@
             host.host_id: host
             for host in move_fleet.upstream_hosts(move_fleet.SERVICE)
             if not (self.is_old_version_removed and host.version == "v1")
+            and (self.is_new_version_started or host.version == "v1")
         }
 
     def add_host(self):
--- a/features/ordered_moves.feature
+++ b/features/ordered_moves.feature
@@ -77,3 +77,9 @@
       | window |
       | 15     |
       | 40     |
+
+  Scenario: A host with few requests in a move can't tell what is slow
+    Given 7 hosts have served 60 requests a second for 10 seconds
+    When operators order a move within 15 seconds to a version that is slow at once
+    And 1 seconds pass
+    Then the next slow answer of the new version counts as slow at each host
--- a/features/steps/forwarding_faults_steps.py
+++ b/features/steps/forwarding_faults_steps.py
@@ -383,7 +383,6 @@
 def compare_outcomes(context):
     context.compared = []
     moves = context.host._moves
-    moves.is_watched = lambda service: True
     moves.observe = context.compared.append
 
 
--- a/features/steps/ordered_moves_steps.py
+++ b/features/steps/ordered_moves_steps.py
@@ -161,3 +161,32 @@
 @behave.when("the old version is overloaded")
 def overload_old_version(context):
     context.fleet.old_slowdown = 4.0
+
+
+@behave.given(
+    "{hosts:d} hosts have served {rate:d} requests a second for {seconds:d} seconds"
+)
+def set_fleet(context, hosts, rate, seconds):
+    context.fleet_options = {
+        "rate": float(rate),
+        "host_count": hosts,
+        "served": seconds * SECOND,
+    }
+
+
+@behave.when(
+    "operators order a move within {window:d} seconds to a version that {fault}"
+)
+def order_after_serving(context, window, fault):
+    context.fleet = fleets.OrderedMoveFleet(
+        context.seed,
+        move_fleet.VERSION_BY_FAULT[fault],
+        window * SECOND,
+        **context.fleet_options,
+    )
+
+
+@behave.then("the next slow answer of the new version counts as slow at each host")
+def check_slow(context):
+    for host in context.fleet.host_by_id.values():
+        assert host.count_slow_answer(30 * SECOND) == 1, host
--- a/src/peridothitch/gateway/active_move.py
+++ b/src/peridothitch/gateway/active_move.py
@@ -81,9 +81,19 @@
         Returns whether a request id is quarantined.
     generator : random.Random
     clock : peridothitch.ports.clock.Clock
+    baseline : peridothitch.policy.evidence_counter.LatencyBaseline or None
     """
 
-    def __init__(self, record, host_id, route_count, is_quarantined, generator, clock):
+    def __init__(
+        self,
+        record,
+        host_id,
+        route_count,
+        is_quarantined,
+        generator,
+        clock,
+        baseline=None,
+    ):
         self.record = record
         self.since = clock.monotonic()
         self.condemnation = None
@@ -98,6 +108,7 @@
             record.to_version,
             is_quarantined,
             clock.now(),
+            baseline,
         )
         self._fleet = FleetSnapshot(
             host_ids=frozenset((host_id,)), new_host_count=0, old_host_count=0
--- a/src/peridothitch/gateway/forwarding/attempt.py
+++ b/src/peridothitch/gateway/forwarding/attempt.py
@@ -94,8 +94,6 @@
     def _report(self, code, ran):
         """Report the attempt's outcome to the comparison of versions."""
         host, job = self.host, self._job
-        if not self._deps.moves.is_watched(host.service):
-            return
         outcome = outcomes.AttemptOutcome(
             # A caller's retries of a request that crashes hosts have other ids.
             request_id=job.digest,
--- a/src/peridothitch/gateway/forwarding/version_moves.py
+++ b/src/peridothitch/gateway/forwarding/version_moves.py
@@ -14,7 +14,7 @@
 
 from peridothitch import errors
 from peridothitch.gateway import active_move, move_evidence
-from peridothitch.policy import moves
+from peridothitch.policy import evidence_counter, moves
 from peridothitch.ports import record_codec, upstream
 
 __all__ = ["VersionMoves"]
@@ -64,6 +64,7 @@
         self._random = random_source or random.Random()
         self._lock = threading.Lock()
         self._active_by_service = {}
+        self._baseline_by_service = {}
         self._first_seen_by_order = {}
         self._evidence = move_evidence.MoveEvidence(
             fact_registry, peers.host_id, _MIN_PUBLISH_INTERVAL, clock, metrics
@@ -161,15 +162,18 @@
         active = self._active_by_service.get(outcome.service)
         if active is not None:
             active.observe(outcome)
+        else:
+            self._baseline(outcome.service).add_sample(outcome)
+
+    def _baseline(self, service):
+        return self._baseline_by_service.setdefault(
+            service, evidence_counter.LatencyBaseline()
+        )
 
     def now(self):
         """Return the time with which outcomes are timestamped."""
         return self._clock.now()
 
-    def is_watched(self, service):
-        """Return whether outcomes at a service's hosts are to be observed."""
-        return service in self._active_by_service
-
     def run(self, stop):
         """Call `tick` periodically until the event `stop` is set."""
         while not self._clock.wait(stop, _TICK_PERIOD):
@@ -212,6 +216,7 @@
                 self._crash_guard.is_quarantined,
                 self._random,
                 self._clock,
+                self._baseline(record.service),
             )
             _log.info(
                 "move followed",
--- a/src/peridothitch/policy/evidence_counter.py
+++ b/src/peridothitch/policy/evidence_counter.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+import threading
 
 import msgspec
 import xxhash
@@ -9,7 +10,7 @@
 from peridothitch import errors
 from peridothitch.policy import evidence
 
-__all__ = ["EvidenceCounter", "old_late_share"]
+__all__ = ["EvidenceCounter", "LatencyBaseline", "old_late_share"]
 
 _TIMEOUT_CODES = frozenset({errors.Code.DEADLINE_EXCEEDED, errors.Code.UPSTREAM_SILENT})
 _LOST_CODES = frozenset(
@@ -55,6 +56,60 @@
         self._bound = ordered[index] * _THRESHOLD_MARGIN_FACTOR
 
 
+class LatencyBaseline:
+    """Usual latencies of a service's answers at one entry host, by route.
+
+    They are collected before a move, too: in a large fleet one host gets few requests
+    within the time of a move.
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._first_by_route = collections.defaultdict(_SlowThreshold)
+        self._gap_by_route = collections.defaultdict(_SlowThreshold)
+
+    def compare(self, outcome, is_sample):
+        """Return whether the first byte and the gaps between tokens were slow.
+
+        Parameters
+        ----------
+        outcome : peridothitch.ports.outcomes.AttemptOutcome
+        is_sample : bool
+            Whether to add the answer to the usual ones.
+
+        Returns
+        -------
+        tuple of (bool or None, bool or None)
+            None for what was not measured or can't be compared yet.
+        """
+        if outcome.first_byte is None:
+            return None, None
+        first = outcome.first_byte.total_seconds()
+        gap = None
+        if outcome.token_count > 1:
+            rest = (outcome.duration - outcome.first_byte).total_seconds()
+            gap = rest / (outcome.token_count - 1)
+        with self._lock:
+            return (
+                _compare(self._first_by_route[outcome.route], first, is_sample),
+                _compare(self._gap_by_route[outcome.route], gap, is_sample),
+            )
+
+    def add_sample(self, outcome):
+        """Add an answer that belongs to no move, unless it failed."""
+        if outcome.code is None and not outcome.host_leaving and not _failed(outcome):
+            self.compare(outcome, is_sample=True)
+
+
+def _compare(threshold, seconds, is_sample):
+    if seconds is None:
+        return None
+    slow = threshold.is_slow(seconds)
+    if is_sample:
+        threshold.add_sample(seconds)
+    return slow
+
+
 class _Loss(msgspec.Struct, frozen=True):
     """Lost connection that is not counted yet."""
 
@@ -78,16 +133,19 @@
         Takes a request id, returns whether it is quarantined.
     since : datetime.datetime
         When the collection starts.
+    baseline : LatencyBaseline or None
+        Latencies of the old version that were collected before.
     """
 
-    def __init__(self, service, old_version, new_version, is_quarantined, since):
+    def __init__(
+        self, service, old_version, new_version, is_quarantined, since, baseline=None
+    ):
         self._since = since.timestamp()
         self._service = service
         self._versions = (old_version, new_version)
         self._is_quarantined = is_quarantined
         self._counts_by_route_by_version = {old_version: {}, new_version: {}}
-        self._first_by_route = collections.defaultdict(_SlowThreshold)
-        self._gap_by_route = collections.defaultdict(_SlowThreshold)
+        self._baseline = baseline or LatencyBaseline()
         self._losses_by_version = {old_version: {}, new_version: {}}
         self._pending = []
         self._old_loss_by_data_centre = {}
@@ -168,28 +226,19 @@
         return self._is_new(outcome)
 
     def _add_answer(self, outcome):
-        failed = outcome.status >= _FAILED_STATUS or outcome.code is not None
+        failed = _failed(outcome) or outcome.code is not None
         change = {"attempts": 1, "failed": int(failed), "late": int(_is_late(outcome))}
-        if not failed and outcome.first_byte is not None:
-            first = outcome.first_byte.total_seconds()
-            slow = self._compare_with_threshold(self._first_by_route, outcome, first)
-            change |= {} if slow is None else {"firsts": 1, "slow_firsts": int(slow)}
-        if not failed and outcome.first_byte is not None and outcome.token_count > 1:
-            rest = (outcome.duration - outcome.first_byte).total_seconds()
-            gap = rest / (outcome.token_count - 1)
-            slow = self._compare_with_threshold(self._gap_by_route, outcome, gap)
-            change |= {} if slow is None else {"gaps": 1, "slow_gaps": int(slow)}
+        if not failed:
+            is_old = not self._is_new(outcome)
+            slow_first, slow_gap = self._baseline.compare(outcome, is_sample=is_old)
+            if slow_first is not None:
+                change |= {"firsts": 1, "slow_firsts": int(slow_first)}
+            if slow_gap is not None:
+                change |= {"gaps": 1, "slow_gaps": int(slow_gap)}
         self._add(outcome.version, outcome.route, **change)
         adverse = ("failed", "slow_firsts", "slow_gaps")
         return self._is_new(outcome) and any(change.get(name) for name in adverse)
 
-    def _compare_with_threshold(self, threshold_by_route, outcome, seconds):
-        threshold = threshold_by_route[outcome.route]
-        slow = threshold.is_slow(seconds)
-        if not self._is_new(outcome):
-            threshold.add_sample(seconds)
-        return slow
-
     def _add(self, version, route, **change):
         counts_by_route = self._counts_by_route_by_version[version]
         counts = counts_by_route.get(route, evidence.RouteCounts())
@@ -227,6 +276,10 @@
     return outcome.first_byte is None and outcome.ran is not errors.Ran.NO
 
 
+def _failed(outcome):
+    return outcome.status >= _FAILED_STATUS
+
+
 def _is_late(outcome):
     if outcome.first_byte is None or outcome.latency_objective is None:
         return False
