Prove no version whose latency could not be compared

Class of fault: no evidence against a version is taken for evidence for it. Change: a route with enough answers of the new version, too few of them compared, keeps the version from being proved. Routes with few answers are treated as before. Result: features/move_evidence, "A version is proved although its latency was never compared", passes; the field that it sets did not exist before.

--- a/features/move_evidence.feature
+++ b/features/move_evidence.feature
@@ -24,3 +24,8 @@
 
   Scenario: A verdict is written once and never changes
     Then for any interleaving of deciders and lost replies one verdict stands
+
+  Scenario: A version is proved although its latency was never compared
+    Given a move at nine tenths of its time without evidence against the new version
+    Then the new version is proved
+    But it is not if a route's answers could not be compared by their latency
--- a/features/steps/move_evidence_steps.py
+++ b/features/steps/move_evidence_steps.py
@@ -261,3 +261,37 @@
         return store.record_proof(stored, now, 1)
     decision = moves.Close(moves.Outcome(action), errors.Code.MOVE_FINISHED)
     return store.record_verdict(stored, decision, now, 1, "v1")
+
+
+@behave.given(
+    "a move at nine tenths of its time without evidence against the new version"
+)
+def start_move_record(context):
+    start = datetime.datetime(2026, 12, 4, tzinfo=datetime.UTC)
+    window = datetime.timedelta(seconds=20)
+    context.now = start + 0.9 * window
+    context.record = moves.MoveRecord(
+        move_id="move",
+        name="move",
+        service="model",
+        from_version="v1",
+        to_version="v2",
+        start=start,
+        finish_by=start + window,
+        max_exposed_share=0.1,
+    )
+
+
+def _decide(context, **evidence_fields):
+    summary = moves.EvidenceSummary(**evidence_fields)
+    return moves.decide(context.record, object(), summary, context.now)
+
+
+@behave.then("the new version is proved")
+def check_proved(context):
+    assert _decide(context) == moves.Prove(context.now)
+
+
+@behave.then("it is not if a route's answers could not be compared by their latency")
+def check_not_proved(context):
+    assert _decide(context, untimed_routes=("chat",)) is None
--- a/src/peridothitch/gateway/active_move.py
+++ b/src/peridothitch/gateway/active_move.py
@@ -256,11 +256,18 @@
             if self._comparison.old_samples(route)
             and exposure.is_sample_wanted(self._comparison.samples(route))
         )
+        untimed = tuple(
+            route
+            for route in routes
+            if not exposure.is_sample_wanted(self._comparison.samples(route))
+            and exposure.is_sample_wanted(self._comparison.timed_samples(route))
+        )
         condemned = self.condemnation.describe() if self.condemnation else ""
         return moves.EvidenceSummary(
             condemned=condemned,
             evidence_ratio=self._comparison.evidence_ratio,
             undersampled_routes=undersampled,
+            untimed_routes=untimed,
             new_host_count=self._fleet.new_host_count,
             collected_since=self._collected_since,
             old_late_share=self._old_late_share,
--- a/src/peridothitch/policy/evidence.py
+++ b/src/peridothitch/policy/evidence.py
@@ -334,6 +334,11 @@
         total = self._total_by_stratum.get(Stratum(route, Measure.FAILED))
         return total[0].trials if total else 0
 
+    def timed_samples(self, route):
+        """Return how many first bytes of the new version on `route` were compared."""
+        total = self._total_by_stratum.get(Stratum(route, Measure.FIRST_TOKEN))
+        return total[0].trials if total else 0
+
     def old_samples(self, route):
         """Return the number of counted attempts of the old version on `route`."""
         total = self._total_by_stratum.get(Stratum(route, Measure.FAILED))
--- a/src/peridothitch/policy/moves.py
+++ b/src/peridothitch/policy/moves.py
@@ -129,6 +129,9 @@
         Largest evidence as a share of the bound.
     undersampled_routes : tuple of str
         Routes that have traffic and too few attempts of the new version.
+    untimed_routes : tuple of str
+        Routes with enough attempts of the new version, of which too few could be
+        compared by their latency.
     new_host_count : int
         Live hosts of the new version.
     collected_since : float
@@ -140,6 +143,7 @@
     condemned: str = ""
     evidence_ratio: float = 0.0
     undersampled_routes: tuple[str, ...] = ()
+    untimed_routes: tuple[str, ...] = ()
     new_host_count: int = 1
     collected_since: float = 0.0
     old_late_share: float = 0.0
@@ -291,6 +295,8 @@
         return None
     if evidence_summary.old_late_share > _MAX_OLD_LATE_SHARE:
         return None
+    if evidence_summary.untimed_routes:
+        return None
     if evidence_summary.collected_since > _latest_collection_start(record).timestamp():
         return None
     if evidence_summary.undersampled_routes and elapsed < _SAMPLE_WAIT_END_SHARE:
