--- a/src/peridothitch/bounded_reader.py
+++ b/src/peridothitch/bounded_reader.py
@@ -1,8 +1,8 @@
 """Reads HTTP responses from a socket with limits on size and time.
 
 A faulty server may send bytes without end. `http.client` limits the length of a line
-and the number of header fields, but neither the interim responses nor the size of a
-body or of the time that all of them take.
+and the number of header fields, but not the interim responses, the size of a body, or
+the time that a response takes.
 """
 
 import contextlib
--- a/src/peridothitch/coordination/mirror_parts.py
+++ b/src/peridothitch/coordination/mirror_parts.py
@@ -16,7 +16,7 @@
 __all__ = ["PART_BYTES", "Download", "MirrorPart", "PartSource", "Progress"]
 
 PART_BYTES = 32 << 10
-"""Size of a part: 26 ms on a link of 10 Mbit/s, which several hosts share."""
+"""Arrives within the time limit of a call, also on a slow link that hosts share."""
 
 _MAX_CONTENT_BYTES = 64 << 20
 _RETAINED_CONTENTS = 3
--- a/src/peridothitch/platform/client.py
+++ b/src/peridothitch/platform/client.py
@@ -23,8 +23,7 @@
 """Above the largest configuration by a wide margin."""
 
 _MAX_TRANSFER_TIME = datetime.timedelta(seconds=30)
-"""For an answer whose first byte has arrived; the largest one takes 54 s at 10 Mbit/s,
-the largest configuration a tenth of that."""
+"""Time for the rest of an answer whose first byte has arrived."""
 
 _log = logbook.Logger(__name__)
 
