--- a/src/peridothitch/gateway/forwarding/attempt.py
+++ b/src/peridothitch/gateway/forwarding/attempt.py
@@ -79,6 +79,16 @@
             "upstream_first_byte", self._first_byte, service=self.host.service
         )
 
+    @property
+    def event_count(self):
+        """Number of events received on a stream."""
+        return self._event_count
+
+    @property
+    def elapsed_seconds(self):
+        """Seconds since the request was sent."""
+        return (self._deps.clock.monotonic() - self.sent_at).total_seconds()
+
     def record_events(self, count):
         """Add to the number of events received on a stream."""
         self._event_count += count
--- a/src/peridothitch/gateway/forwarding/job.py
+++ b/src/peridothitch/gateway/forwarding/job.py
@@ -60,6 +60,11 @@
             return self.customer.priority
         return self.route.priority
 
+    @property
+    def shared_parts(self):
+        """Ids of the prompt's parts without the last, which is the request's own."""
+        return tuple(part_id for part_id, _ in self.metadata.prompt_parts[:-1])
+
     @property
     def may_repeat(self):
         """Whether the request may run more than once."""
--- a/src/peridothitch/gateway/forwarding/retrying_sender.py
+++ b/src/peridothitch/gateway/forwarding/retrying_sender.py
@@ -145,7 +145,18 @@
         if error.code is errors.Code.UPSTREAM_SILENT:
             self._deps.upstreams.suspend(host, "silent")
             return
-        if not self._deps.transport.is_down(host):
+        is_down = self._deps.transport.is_down(host)
+        _log.info(
+            "broken off",
+            id=self._job.request_id,
+            host_id=host.host_id,
+            incarnation=host.incarnation,
+            down=is_down,
+            events=attempt.event_count,
+            shared_parts=" ".join(self._job.shared_parts),
+            run_ms=_to_milliseconds(attempt.elapsed_seconds),
+        )
+        if not is_down:
             self._deps.upstreams.record_result(host, failed=True)
             return
         self._deps.upstreams.suspend(host, "down")
