--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -69,6 +69,8 @@
         Ids of the requests that were handled with a fault.
     cancelled_request_ids : list of str
         Ids of the streams whose connection was closed by the other end.
+    deadly_parts : frozenset of str
+        Ids of prompt parts on which the replica crashes when it begins an answer.
     """
 
     def __init__(self, replica_id, event_count=5, event_gap_seconds=0.01):
@@ -79,6 +81,7 @@
         self.executed_request_ids = []
         self.faulty_request_ids = set()
         self.cancelled_request_ids = []
+        self.deadly_parts = frozenset()
         self._behaviours = collections.deque()
         self._default_behaviour = "answer"
         self._connection_count = 0
@@ -103,6 +106,11 @@
             self._behaviours.clear()
             self._default_behaviour = "answer"
 
+    @property
+    def is_listening(self):
+        """Whether new connections are accepted."""
+        return self._listener.fileno() >= 0
+
     def start(self):
         """Accept connections in the background."""
         threading.Thread(target=self._accept_connections, daemon=True).start()
@@ -178,6 +186,9 @@
         if expected not in ("", self.replica_id):
             return self.do_misdirect(sock, request)
         self.executed_request_ids.append(request.value("Peridothitch-Attempt-Id"))
+        if self.deadly_parts & _prompt_parts(request):
+            self.close()
+            return False
         if request.value("Peridothitch-Token-Usage"):
             return self._stream(sock, request, self.event_count)
         body = self._body(request)
@@ -304,6 +315,11 @@
         return False
 
 
+def _prompt_parts(request):
+    entries = request.value("Peridothitch-Prompt-Prefix").split(",")
+    return {entry.rpartition(":")[0] for entry in entries}
+
+
 def _is_closed(sock):
     sock.settimeout(0.0)
     try:
