Take a stream that ends inside an event as broken off

Callers got the rest of an event that was cut as the end of a complete answer, whatever framed the stream: the bytes that no blank line ended were written and the answer was closed as whole. Now the stream counts as interrupted: one that may be resumed goes on at another upstream, others end incomplete.

--- a/src/peridothitch/gateway/forwarding/delivery.py
+++ b/src/peridothitch/gateway/forwarding/delivery.py
@@ -169,6 +169,12 @@
                     )
                 if events:
                     self._write_events(attempt, events)
+            if splitter.pending.strip():
+                raise errors.UpstreamError(
+                    errors.Code.STREAM_INTERRUPTED,
+                    f"the stream ended inside an event: {splitter.pending[:40]!r}",
+                    errors.Ran.UNKNOWN,
+                )
             if not self._response_writer.has_begun:
                 self._begin(attempt)
             self._response_writer.write(splitter.pending)
--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -232,6 +232,47 @@
         sockets.reset(sock)
         return False
 
+    def do_unframed_stream(self, sock, request):
+        """Send a stream that ends with its connection."""
+        begin = int(request.value("Last-Event-Id") or 0)
+        self._send_unframed(sock, request, begin, self.event_count)
+        return False
+
+    def do_end_inside_event(self, sock, request):
+        """End an unframed stream with its connection, inside its third event."""
+        self._send_unframed(sock, request, 0, 2)
+        sock.sendall(b"id: 3\ndata: tok")
+        return False
+
+    def do_reset_unframed(self, sock, request):
+        """Reset the connection of an unframed stream between two events."""
+        self._send_unframed(sock, request, 0, 2)
+        time.sleep(self.event_gap_seconds)
+        sockets.reset(sock)
+        return False
+
+    def do_end_chunks_inside_event(self, sock, request):
+        """Complete the chunks of a stream inside its third event."""
+        self.executed_request_ids.append(request.value("Peridothitch-Attempt-Id"))
+        self._stream(sock, request, 2)
+        sock.sendall(b"f\r\nid: 3\ndata: tok\r\n0\r\n\r\n")
+        return False
+
+    def do_reset_unframed_body(self, sock, request):
+        """Reset the connection of a body that would end with it."""
+        self.executed_request_ids.append(request.value("Peridothitch-Attempt-Id"))
+        sock.sendall(self._head(request, 200, _SIGNATURE) + b"only a part")
+        time.sleep(self.event_gap_seconds)
+        sockets.reset(sock)
+        return False
+
+    def _send_unframed(self, sock, request, begin, end):
+        self.executed_request_ids.append(request.value("Peridothitch-Attempt-Id"))
+        content_type = "Content-Type: text/event-stream"
+        sock.sendall(self._head(request, 200, _SIGNATURE, content_type))
+        for number in range(begin + 1, end + 1):
+            sock.sendall(b"id: %d\ndata: token %d\n\n" % (number, number))
+
     def do_refuse(self, sock, request):
         """Refuse the request without running it."""
         lines = ("Peridothitch-Not-Executed: 1", "Content-Length: 0")
