--- a/src/peridothitch/policy/upstream_cooldown.py
+++ b/src/peridothitch/policy/upstream_cooldown.py
@@ -30,9 +30,15 @@
         return now < self.until
 
     def after_failure(self, now):
-        """Return the cooldown after one more failure."""
+        """Return the cooldown after one more failure.
+
+        Failures during a cooldown do not extend it: one crash breaks the connections of
+        all requests that were sent before.
+        """
+        if self.is_active(now):
+            return self
         length = min(
             _LONGEST_COOLDOWN,
             _FIRST_COOLDOWN * 2 ** min(self.failures, _MAX_DOUBLING_COUNT),
         )
-        return Cooldown(self.failures + 1, max(self.until, now + length))
+        return Cooldown(self.failures + 1, now + length)
