--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -24,3 +24,7 @@
       | entry hosts cut off                  | 12    |
       | a loss of power of all entry hosts   | 12    |
       | prompts made of random parts         | 12    |
+
+  Scenario: Evidence about prompts made of random parts grows without bound
+    When 3000 crashes with 90 random parts each are reported beside those of a bad part
+    Then the bad part is blamed and at most 256 crashes of 96 parts are kept
--- a/features/steps/prompt_parts_steps.py
+++ b/features/steps/prompt_parts_steps.py
@@ -6,6 +6,8 @@
 import behave
 import part_fleet
 
+from peridothitch.policy import part_evidence
+
 _SETTLING_SECONDS = 1.0
 """Time from a crash until an entry host has weighed it."""
 
@@ -63,6 +65,7 @@
     assert response.status == 200, response
 
 
+_BAD_INTERVAL = 200
 _LOAD_BY_TROUBLE = {
     "one bad part": {},
     "two bad parts at once": {"bad_parts": ("bad-1", "bad-2"), "bad_share": 0.1},
@@ -90,3 +93,32 @@
         assert max(late.values()) <= count, (seed, late)
         refused = fleet.refused_count
         assert refused <= fleet.sound_count / 100, (seed, refused, fleet.sound_count)
+
+
+@behave.when(
+    "{crashes:d} crashes with {parts:d} random parts each are reported beside those of"
+    " a bad part"
+)
+def report_random_parts(context, crashes, parts):
+    context.evidence = part_evidence.PartEvidence()
+    for crash in range(crashes):
+        ids = [f"{crash}-{number}" for number in range(parts)]
+        if crash % _BAD_INTERVAL == 0:
+            ids[-1] = "bad"
+        for half in (ids[::2], ids[1::2]):
+            report = part_evidence.CrashReport(
+                crash_id=str(crash),
+                service="model",
+                at=float(crash),
+                sent_at_by_part=dict.fromkeys(half, crash - 0.1),
+            )
+            context.evidence.add_report(report)
+
+
+@behave.then(
+    "the bad part is blamed and at most {crashes:d} crashes of {parts:d} parts are kept"
+)
+def check_bounds(context, crashes, parts):
+    evidence = context.evidence
+    assert evidence.blamed == {("model", "bad")}, evidence.blamed
+    assert evidence.size <= crashes * parts, evidence.size
--- a/src/peridothitch/gateway/forwarding/part_guard.py
+++ b/src/peridothitch/gateway/forwarding/part_guard.py
@@ -18,7 +18,7 @@
 from peridothitch.policy import part_evidence
 from peridothitch.ports import facts
 
-__all__ = ["ANSWER_KIND", "CRASH_KIND", "PartGuard"]
+__all__ = ["ANSWER_KIND", "CRASH_KIND", "PartGuard", "crash_fact"]
 
 CRASH_KIND = "prompt-crash"
 ANSWER_KIND = "prompt-answer"
@@ -95,7 +95,6 @@
         self._metrics = metrics
         self._lock = threading.RLock()
         self._evidence = part_evidence.PartEvidence()
-        self._suspects = frozenset()
         self._answered_at_by_key = collections.OrderedDict()
         self._crash_by_id = collections.OrderedDict()
         fact_registry.subscribe(CRASH_KIND, self._receive_crash)
@@ -129,7 +128,7 @@
                 key = service, part
                 self._answered_at_by_key[key] = now
                 self._answered_at_by_key.move_to_end(key)
-                if key in self._suspects:
+                if self._evidence.is_suspect(key):
                     news.append(key)
             while len(self._answered_at_by_key) > _MAX_LOCAL_PARTS:
                 self._answered_at_by_key.popitem(last=False)
@@ -215,13 +214,10 @@
         if not chosen:
             return
         chosen = chosen[:_MAX_PARTS_IN_REPORT]
-        value = _CrashFact(
-            report.service, report.at, {part: sent_at_by_part[part] for part in chosen}
-        )
-        key = f"{report.crash_id}/{self._host_id}"
-        fact = facts.Fact(
-            CRASH_KIND, key, crash.report_count, msgspec.msgpack.encode(value)
+        told = dataclasses.replace(
+            report, sent_at_by_part={part: sent_at_by_part[part] for part in chosen}
         )
+        fact = crash_fact(self._host_id, told, crash.report_count)
         if not self._fact_registry.publish(fact):
             # The registry is full; this host's own evidence still counts here.
             self._receive_crash(fact)
@@ -239,7 +235,7 @@
 
         def order(part):
             key = service, part
-            return key not in self._suspects, key in self._answered_at_by_key
+            return not self._evidence.is_suspect(key), key in self._answered_at_by_key
 
         return order
 
@@ -261,7 +257,6 @@
             before = self._evidence.blamed
             if not self._evidence.add_report(report):
                 return
-            self._suspects = frozenset(self._evidence.suspects())
             for part in report.sent_at_by_part:
                 key = report.service, part
                 answered_at = self._answered_at_by_key.get(key)
@@ -288,7 +283,6 @@
             before = self._evidence.blamed
             if not self._evidence.add_answer(key, answered_at):
                 return
-            self._suspects = frozenset(self._evidence.suspects())
         self._log_changes(before)
 
     def _log_changes(self, before):
@@ -344,3 +338,10 @@
 
     def _now(self):
         return self._clock.now().timestamp()
+
+
+def crash_fact(host_id, report, sequence):
+    """Return the fact by which an entry host tells a `CrashReport` to the others."""
+    value = _CrashFact(report.service, report.at, report.sent_at_by_part)
+    key = f"{report.crash_id}/{host_id}"
+    return facts.Fact(CRASH_KIND, key, sequence, msgspec.msgpack.encode(value))
--- a/src/peridothitch/policy/part_evidence.py
+++ b/src/peridothitch/policy/part_evidence.py
@@ -27,7 +27,11 @@
 """Crashes without a part that is blamed already; a bystander may have one."""
 
 _MAX_CRASHES = 256
+_MAX_PARTS_OF_CRASH = 96
+"""More than a full upstream has of requests without an answer."""
+
 _MAX_LASTING_CRASHES = 32
+_MAX_LASTING_PARTS = 8
 _MAX_ANSWERED_PARTS = 4096
 
 
@@ -52,6 +56,10 @@
     at: float
     sent_at_by_part: dict
 
+    def keys(self):
+        """Return the services and parts of the report as a list of (str, str)."""
+        return [(self.service, part) for part in self.sent_at_by_part]
+
     def join(self, other):
         """Return the union with another host's report of the same crash."""
         sent_at_by_part = dict(self.sent_at_by_part)
@@ -62,13 +70,14 @@
         )
 
 
-def find_blamed(reports, answered_at_by_key):
+def find_blamed(reports_by_key, answered_at_by_key):
     """Return the parts to blame for crashes.
 
     Parameters
     ----------
-    reports : iterable of CrashReport
-        One for each crash.
+    reports_by_key : dict of (str, str) to list of CrashReport
+        Crashes since the last answer, by service and part, in order of time; parts with
+        fewer than three crashes may be left out.
     answered_at_by_key : dict of (str, str) to float
         Unix seconds at which an answer on a service and part last began.
 
@@ -77,12 +86,6 @@
     frozenset of (str, str)
         Services and parts.
     """
-    reports_by_key = collections.defaultdict(list)
-    for report in sorted(reports, key=lambda report: report.at):
-        for part in report.sent_at_by_part:
-            key = report.service, part
-            if answered_at_by_key.get(key, -math.inf) < report.at:
-                reports_by_key[key].append(report)
     accused = [
         key
         for key in reports_by_key
@@ -119,10 +122,7 @@
 
 
 def _count_unexplained(reports, blamed):
-    return sum(
-        blamed.isdisjoint((report.service, part) for part in report.sent_at_by_part)
-        for report in reports
-    )
+    return sum(blamed.isdisjoint(report.keys()) for report in reports)
 
 
 def _count_successive(reports, part):
@@ -150,6 +150,8 @@
 
     def __init__(self):
         self._report_by_id = {}
+        self._crash_ids_by_key = {}
+        self._repeated_keys = set()
         self._answered_at_by_key = collections.OrderedDict()
         self.blamed = frozenset()
 
@@ -157,14 +159,34 @@
         """Add a `CrashReport`; returns whether it told anything new."""
         known = self._report_by_id.get(report.crash_id)
         joined = report if known is None else known.join(report)
+        if len(joined.sent_at_by_part) > _MAX_PARTS_OF_CRASH:
+            joined = self._shorten(joined)
         if joined == known:
             return False
         self._report_by_id[report.crash_id] = joined
+        if known is not None:
+            self._remove_keys(report.crash_id, set(known.keys()) - set(joined.keys()))
+        for key in joined.keys():
+            crash_ids = self._crash_ids_by_key.setdefault(key, set())
+            crash_ids.add(report.crash_id)
+            if len(crash_ids) > 1:
+                self._repeated_keys.add(key)
         if len(self._report_by_id) > _MAX_CRASHES:
             self._forget_report()
-        self._update()
+        self._update(joined.keys())
         return True
 
+    def _shorten(self, report):
+        """Leave out parts of a report, those that occurred in no other crash first."""
+        parts = sorted(
+            report.sent_at_by_part,
+            key=lambda part: (report.service, part) not in self._repeated_keys,
+        )
+        kept = {
+            part: report.sent_at_by_part[part] for part in parts[:_MAX_PARTS_OF_CRASH]
+        }
+        return dataclasses.replace(report, sent_at_by_part=kept)
+
     def add_answer(self, key, answered_at):
         """Add that an answer on a service and part began; returns whether it is new."""
         if self._answered_at_by_key.get(key, -math.inf) >= answered_at:
@@ -173,24 +195,21 @@
         self._answered_at_by_key.move_to_end(key)
         if len(self._answered_at_by_key) > _MAX_ANSWERED_PARTS:
             self._answered_at_by_key.popitem(last=False)
-        self._update()
+        self._update((key,))
         return True
 
-    def answered_at(self, key):
-        """Return when an answer on a service and part last began, None if unknown."""
-        return self._answered_at_by_key.get(key)
+    @property
+    def size(self):
+        """Number of parts in all reports together."""
+        return sum(len(crash_ids) for crash_ids in self._crash_ids_by_key.values())
 
-    def suspects(self):
-        """Return the services and parts with a crash since their last answer."""
-        return {
-            key
-            for report in self._report_by_id.values()
-            for key in self._open_keys(report)
-        }
+    def is_suspect(self, key):
+        """Return whether a service and part has a crash since its last answer."""
+        return bool(self._open_reports(key))
 
     def crash_count(self, key):
         """Return the number of crashes of a service and part since its last answer."""
-        return self._crash_count_by_key().get(key, 0)
+        return len(self._open_reports(key))
 
     def lasting_reports(self):
         """Return what a fleet that starts has to know, the newest crashes first.
@@ -198,59 +217,65 @@
         These are the crashes of parts that are blamed, and of parts that were never
         answered and had several crashes.
         """
-        count_by_key = self._crash_count_by_key()
-        lasting_keys = self.blamed | {
-            key
-            for key, count in count_by_key.items()
-            if count > 1 and key not in self._answered_at_by_key
-        }
-        lasting = []
-        for report in sorted(
-            self._report_by_id.values(), key=lambda report: report.at, reverse=True
-        ):
-            sent_at_by_part = {
-                part: report.sent_at_by_part[part]
-                for service, part in self._open_keys(report)
-                if (service, part) in lasting_keys
-            }
-            if sent_at_by_part:
-                lasting.append(
-                    dataclasses.replace(report, sent_at_by_part=sent_at_by_part)
-                )
-        lasting.sort(key=self._is_explained, reverse=True)
-        return lasting[:_MAX_LASTING_CRASHES]
-
-    def _is_explained(self, report):
-        return any(
-            (report.service, part) in self.blamed for part in report.sent_at_by_part
+        sent_at_by_part_by_id = {}
+        for key in self._repeated_keys:
+            if key in self._answered_at_by_key and key not in self.blamed:
+                continue
+            for report in self._open_reports(key):
+                kept = sent_at_by_part_by_id.setdefault(report.crash_id, {})
+                kept[key[1]] = report.sent_at_by_part[key[1]]
+        lasting = [
+            dataclasses.replace(
+                self._report_by_id[crash_id],
+                sent_at_by_part=dict(sorted(kept.items())[:_MAX_LASTING_PARTS]),
+            )
+            for crash_id, kept in sent_at_by_part_by_id.items()
+        ]
+        lasting.sort(
+            key=lambda report: (not self.blamed.isdisjoint(report.keys()), report.at),
+            reverse=True,
         )
+        return lasting[:_MAX_LASTING_CRASHES]
 
-    def _crash_count_by_key(self):
-        return collections.Counter(
-            key
-            for report in self._report_by_id.values()
-            for key in self._open_keys(report)
-        )
-
-    def _open_keys(self, report):
-        keys = [(report.service, part) for part in report.sent_at_by_part]
-        return [
-            key
-            for key in keys
-            if self._answered_at_by_key.get(key, -math.inf) < report.at
-        ]
+    def _open_reports(self, key):
+        """Return the crashes of a service and part since its last answer, in order."""
+        answered_at = self._answered_at_by_key.get(key, -math.inf)
+        reports = [self._report_by_id[i] for i in self._crash_ids_by_key.get(key, ())]
+        found = [report for report in reports if report.at > answered_at]
+        return sorted(found, key=lambda report: report.at)
 
     def _forget_report(self):
-        """Drop the oldest of the crashes whose parts recur least."""
-        count_by_key = self._crash_count_by_key()
-        least = min(
+        """Drop the oldest crash, if possible one whose parts had no other crash."""
+        oldest = min(
             self._report_by_id.values(),
             key=lambda report: (
-                max((count_by_key[key] for key in self._open_keys(report)), default=0),
+                not self._repeated_keys.isdisjoint(report.keys()),
                 report.at,
             ),
         )
-        del self._report_by_id[least.crash_id]
-
-    def _update(self):
-        self.blamed = find_blamed(self._report_by_id.values(), self._answered_at_by_key)
+        del self._report_by_id[oldest.crash_id]
+        self._remove_keys(oldest.crash_id, oldest.keys())
+
+    def _remove_keys(self, crash_id, keys):
+        for key in keys:
+            crash_ids = self._crash_ids_by_key[key]
+            crash_ids.discard(crash_id)
+            if len(crash_ids) < 2:
+                self._repeated_keys.discard(key)
+            if not crash_ids:
+                del self._crash_ids_by_key[key]
+
+    def _update(self, changed_keys):
+        if self._repeated_keys.isdisjoint(changed_keys) and self.blamed.isdisjoint(
+            changed_keys
+        ):
+            return
+        reports_by_key = {key: self._open_reports(key) for key in self._repeated_keys}
+        self.blamed = find_blamed(
+            {
+                key: reports
+                for key, reports in reports_by_key.items()
+                if len(reports) >= _MIN_CRASHES
+            },
+            self._answered_at_by_key,
+        )
