--- a/src/peridothitch/gateway/forwarding/attempt.py
+++ b/src/peridothitch/gateway/forwarding/attempt.py
@@ -19,6 +19,7 @@
     Attributes
     ----------
     upstreams : peridothitch.gateway.forwarding.upstream_pool.UpstreamPool
+    limits : peridothitch.gateway.forwarding.upstream_limits.UpstreamLimits
     transport : peridothitch.ports.raw.RawTransport
     header_codec : peridothitch.ports.forwarding.HeaderCodec
     budgets : peridothitch.gateway.forwarding.retry_budgets.RetryBudgets
@@ -32,6 +33,7 @@
     """
 
     upstreams: object
+    limits: object
     transport: object
     header_codec: object
     budgets: object
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -25,6 +25,7 @@
     peer_sync,
     quota_limiter,
     retry_budgets,
+    upstream_limits,
     upstream_pool,
     version_moves,
 )
@@ -148,6 +149,7 @@
             clock,
             self.metrics,
         )
+        self._limits = upstream_limits.UpstreamLimits(self.metrics)
         self._upstreams = upstream_pool.UpstreamPool(settings, clock, self.metrics)
         self._transport = raw_transport.HttpRawTransport(
             clock, platform.header_codec, self.metrics
@@ -196,6 +198,7 @@
     def _attempt_dependencies(self):
         return attempt.AttemptDependencies(
             upstreams=self._upstreams,
+            limits=self._limits,
             transport=self._transport,
             header_codec=self._platform.header_codec,
             budgets=self._budgets,
--- a/src/peridothitch/gateway/forwarding/retrying_sender.py
+++ b/src/peridothitch/gateway/forwarding/retrying_sender.py
@@ -216,6 +216,7 @@
         answer = deps.transport.open(host, call, self._set_cancel)
         answer.set_deadline(job.deadline)
         attempt.answer = answer
+        deps.limits.record(host, answer.metadata.request_limit)
         if answer.metadata.load is not None:
             deps.upstreams.record_load(host, answer.metadata.load)
 
--- a/src/peridothitch/platform/header_codec.py
+++ b/src/peridothitch/platform/header_codec.py
@@ -1,6 +1,7 @@
 """Header fields of requests and answers on the platform."""
 
 import datetime
+import math
 
 from peridothitch import errors
 from peridothitch.ports import forwarding
@@ -23,6 +24,7 @@
 _NOT_EXECUTED = "peridothitch-not-executed"
 _HOST_ID = "peridothitch-replica-id"
 _LOAD = "peridothitch-replica-load"
+_LIMIT = "server-limit"
 
 _CONNECTION_FIELDS = frozenset(
     {
@@ -87,6 +89,7 @@
             not_executed=_NOT_EXECUTED in value_by_name,
             host_id=value_by_name.get(_HOST_ID, ""),
             load=_to_load(value_by_name.get(_LOAD)),
+            request_limit=_to_limit(value_by_name.get(_LIMIT)),
         )
 
     def to_upstream(self, fields, outbound):
@@ -175,3 +178,14 @@
     if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
         return None
     return forwarding.Load(*map(int, numbers))
+
+
+def _to_limit(text):
+    """Return a limit, infinite if there is none and NaN if it can't be read."""
+    if text is None:
+        return math.inf
+    try:
+        limit = float(text)
+    except ValueError:
+        return math.nan
+    return limit if limit >= 0 else math.nan
--- a/src/peridothitch/ports/forwarding.py
+++ b/src/peridothitch/ports/forwarding.py
@@ -9,6 +9,7 @@
 import dataclasses
 import datetime
 import enum
+import math
 
 __all__ = [
     "ResponseMetadata",
@@ -283,6 +284,9 @@
     host_id : str
         Id of the upstream; empty if not declared.
     load : Load or None
+    request_limit : float
+        Requests a second that the upstream takes from all entry hosts together;
+        infinite if it names no limit, NaN if what it names is no such number.
     """
 
     request_id: str = ""
@@ -290,6 +294,7 @@
     not_executed: bool = False
     host_id: str = ""
     load: Load | None = None
+    request_limit: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
