--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -69,6 +69,8 @@
         Ids of the requests that were handled with a fault.
     cancelled_request_ids : list of str
         Ids of the streams whose connection was closed by the other end.
+    limit : str
+        Requests a second that its answers name as its limit, empty for none.
     deadly_parts : frozenset of str
         Ids of prompt parts on which the replica crashes when it begins an answer.
     """
@@ -81,6 +83,7 @@
         self.executed_request_ids = []
         self.faulty_request_ids = set()
         self.cancelled_request_ids = []
+        self.limit = ""
         self.deadly_parts = frozenset()
         self._behaviours = collections.deque()
         self._default_behaviour = "answer"
@@ -166,6 +169,8 @@
 
     def _head(self, request, status, *lines):
         reason = http.client.responses[status]
+        if self.limit:
+            lines = (f"Server-Limit: {self.limit}", *lines)
         return "\r\n".join(
             [
                 f"HTTP/1.1 {status} {reason}",
