Check all upstreams that may have crashed, not the first four

Of several upstreams that crashed at the same moment, four were asked in a period and the others were taken for checked, so their crashes were lost unless a request found them down. They wait for the next period now. The new scenario failed before: 4 of 10 crashes were reported.

--- a/features/part_fleet.py
+++ b/features/part_fleet.py
@@ -6,6 +6,8 @@
 import itertools
 import random
 
+import msgspec
+
 from peridothitch import errors
 from peridothitch.adapters import metrics
 from peridothitch.gateway.forwarding import part_guard, part_records
@@ -177,6 +179,28 @@
             incarnation=next(self._number),
         )
 
+    def guard(self):
+        """Return the guard of the first host."""
+        return self._hosts[0].guard
+
+    def reported_parts(self):
+        """Return the parts in the crash reports that the first host has published."""
+        return [
+            sorted(msgspec.msgpack.decode(fact.value)[2])
+            for fact in self._hosts[0].facts.fact_by_id.values()
+            if fact.kind == part_guard.CRASH_KIND
+        ]
+
+    def upstream_host(self, number):
+        """Return an upstream as it is now."""
+        return self._upstreams[number].host
+
+    def crash(self, number):
+        """Crash an upstream; returns the host that crashed."""
+        crashed = self._upstreams[number].host
+        self._crash(self._upstreams[number])
+        return crashed
+
     def _at(self, delay, action, *arguments):
         due = self.clock.seconds + delay
         heapq.heappush(self._events, (due, next(self._number), action, arguments))
--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -28,3 +28,7 @@
   Scenario: Evidence about prompts made of random parts grows without bound
     When 3000 crashes with 90 random parts each are reported beside those of a bad part
     Then the bad part is blamed and at most 256 crashes of 96 parts are kept
+
+  Scenario: A crash is not reported when more upstreams than are checked at once fail
+    When 10 upstreams crash at the same moment and are not noticed to be down
+    Then after 3 checks all 10 crashes are reported
--- a/features/steps/prompt_parts_steps.py
+++ b/features/steps/prompt_parts_steps.py
@@ -122,3 +122,55 @@
     evidence = context.evidence
     assert evidence.blamed == {("model", "bad")}, evidence.blamed
     assert evidence.size <= crashes * parts, evidence.size
+
+
+def _start_guard(context):
+    context.fleet = part_fleet.PartFleet(part_fleet.Load(), context.seed, 1, 10)
+    context.guard = context.fleet.guard()
+
+
+def _reported_parts(context):
+    return context.fleet.reported_parts()
+
+
+@behave.when(
+    "{count:d} upstreams crash at the same moment and are not noticed to be down"
+)
+def crash_many(context, count):
+    _start_guard(context)
+    for number in range(count):
+        host = context.fleet.crash(number)
+        sent_at = context.fleet.clock.monotonic()
+        context.guard.record_break(host, (f"part-{number}",), sent_at, is_down=False)
+
+
+@behave.then("after {checks:d} checks all {count:d} crashes are reported")
+def check_all_reported(context, checks, count):
+    for _ in range(checks):
+        context.fleet.clock.seconds += 0.4
+        context.guard.report_crashes()
+    assert len(_reported_parts(context)) == count, _reported_parts(context)
+
+
+@behave.when(
+    'an upstream that is up breaks off an answer on "{early}" and later crashes on'
+    ' "{late}"'
+)
+def break_then_crash(context, early, late):
+    _start_guard(context)
+    clock = context.fleet.clock
+    host = context.fleet.upstream_host(0)
+    context.guard.record_break(host, (early,), clock.monotonic(), is_down=False)
+    clock.seconds += 1.0
+    context.guard.report_crashes()
+    clock.seconds += 9.0
+    sent_at = clock.monotonic()
+    context.fleet.crash(0)
+    context.guard.record_break(host, (late,), sent_at, is_down=True)
+    clock.seconds += 1.0
+    context.guard.report_crashes()
+
+
+@behave.then('only "{part}" is reported')
+def check_one_reported(context, part):
+    assert _reported_parts(context) == [[part]], _reported_parts(context)
--- a/src/peridothitch/gateway/forwarding/part_guard.py
+++ b/src/peridothitch/gateway/forwarding/part_guard.py
@@ -58,7 +58,7 @@
     answered_at: float
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class _Crash:
     """Requests without an answer that one upstream broke off."""
 
@@ -193,12 +193,15 @@
                 if not crash.is_settled and crash.at <= latest
             ]
             unconfirmed = [crash for crash in due if not crash.is_down]
+            postponed = unconfirmed[_MAX_CHECKS:]
+            due = [crash for crash in due if crash not in postponed]
+            for crash in due:
+                crash.is_settled = True
         for crash in unconfirmed[:_MAX_CHECKS]:
-            crash.is_down = self._is_down(crash.host)
+            crash.is_down = self._is_down(crash.host) or crash.is_down
         for crash in due:
             if crash.is_down:
                 self._report(crash)
-            crash.is_settled = True
 
     def _report(self, crash):
         report = crash.report
