Keep an answer broken off earlier out of the report of a crash

An upstream that broke off an answer and stayed up kept the entry of that moment; when it crashed later, the report had that time and those parts. The new scenario failed before: both parts were reported.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -32,3 +32,7 @@
   Scenario: A crash is not reported when more upstreams than are checked at once fail
     When 10 upstreams crash at the same moment and are not noticed to be down
     Then after 3 checks all 10 crashes are reported
+
+  Scenario: An answer that was broken off long before is taken for a part of the crash
+    When an upstream that is up breaks off an answer on "early" and later crashes on "late"
+    Then only "late" is reported
--- a/src/peridothitch/gateway/forwarding/part_guard.py
+++ b/src/peridothitch/gateway/forwarding/part_guard.py
@@ -160,7 +160,10 @@
             sent_at_by_part=dict.fromkeys(parts, sent),
         )
         with self._lock:
-            crash = self._crash_by_id.setdefault(crash_id, _Crash(host, moment, report))
+            crash = self._crash_by_id.get(crash_id)
+            if crash is None or (crash.is_settled and not crash.is_down):
+                # An answer that was broken off before was no crash.
+                crash = self._crash_by_id[crash_id] = _Crash(host, moment, report)
             crash.report = crash.report.join(report)
             crash.is_down = crash.is_down or is_down
             crash.is_settled = False
