Keep blamed parts in the store's record before others

A recorded crash keeps eight parts, and the first by name were taken: a blamed part among more of them would have been forgotten with a loss of power. The new scenario failed before.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -36,3 +36,7 @@
   Scenario: An answer that was broken off long before is taken for a part of the crash
     When an upstream that is up breaks off an answer on "early" and later crashes on "late"
     Then only "late" is reported
+
+  Scenario: The store's record leaves out the blamed part among others that recur
+    When a bad part "x-bad" crashes upstreams beside 12 parts that recur
+    Then each recorded crash has the part "x-bad"
--- a/features/steps/prompt_parts_steps.py
+++ b/features/steps/prompt_parts_steps.py
@@ -174,3 +174,24 @@
 @behave.then('only "{part}" is reported')
 def check_one_reported(context, part):
     assert _reported_parts(context) == [[part]], _reported_parts(context)
+
+
+@behave.when('a bad part "{part}" crashes upstreams beside {count:d} parts that recur')
+def crash_beside(context, part, count):
+    context.evidence = part_evidence.PartEvidence()
+    for crash in range(count):
+        others = [f"part-{number}" for number in range(count) if number != crash]
+        report = part_evidence.CrashReport(
+            crash_id=str(crash),
+            service="model",
+            at=float(crash),
+            sent_at_by_part=dict.fromkeys((*others, part), crash - 0.1),
+        )
+        context.evidence.add_report(report)
+
+
+@behave.then('each recorded crash has the part "{part}"')
+def check_recorded(context, part):
+    assert context.evidence.blamed == {("model", part)}, context.evidence.blamed
+    reports = context.evidence.lasting_reports()
+    assert reports and all(part in report.sent_at_by_part for report in reports)
--- a/src/peridothitch/policy/part_evidence.py
+++ b/src/peridothitch/policy/part_evidence.py
@@ -159,8 +159,7 @@
         """Add a `CrashReport`; returns whether it told anything new."""
         known = self._report_by_id.get(report.crash_id)
         joined = report if known is None else known.join(report)
-        if len(joined.sent_at_by_part) > _MAX_PARTS_OF_CRASH:
-            joined = self._shorten(joined)
+        joined = self._shorten(joined, _MAX_PARTS_OF_CRASH)
         if joined == known:
             return False
         self._report_by_id[report.crash_id] = joined
@@ -176,16 +175,18 @@
         self._update(joined.keys())
         return True
 
-    def _shorten(self, report):
-        """Leave out parts of a report, those that occurred in no other crash first."""
-        parts = sorted(
-            report.sent_at_by_part,
-            key=lambda part: (report.service, part) not in self._repeated_keys,
-        )
-        kept = {
-            part: report.sent_at_by_part[part] for part in parts[:_MAX_PARTS_OF_CRASH]
-        }
-        return dataclasses.replace(report, sent_at_by_part=kept)
+    def _shorten(self, report, max_parts):
+        """Leave out parts of a report, the blamed ones and those that recur last."""
+        if len(report.sent_at_by_part) <= max_parts:
+            return report
+
+        def order(part):
+            key = report.service, part
+            return key not in self.blamed, key not in self._repeated_keys
+
+        chosen = sorted(report.sent_at_by_part, key=order)[:max_parts]
+        sent_at_by_part = {part: report.sent_at_by_part[part] for part in chosen}
+        return dataclasses.replace(report, sent_at_by_part=sent_at_by_part)
 
     def add_answer(self, key, answered_at):
         """Add that an answer on a service and part began; returns whether it is new."""
@@ -225,9 +226,12 @@
                 kept = sent_at_by_part_by_id.setdefault(report.crash_id, {})
                 kept[key[1]] = report.sent_at_by_part[key[1]]
         lasting = [
-            dataclasses.replace(
-                self._report_by_id[crash_id],
-                sent_at_by_part=dict(sorted(kept.items())[:_MAX_LASTING_PARTS]),
+            self._shorten(
+                dataclasses.replace(
+                    self._report_by_id[crash_id],
+                    sent_at_by_part=dict(sorted(kept.items())),
+                ),
+                _MAX_LASTING_PARTS,
             )
             for crash_id, kept in sent_at_by_part_by_id.items()
         ]
