--- a/src/peridothitch/gateway/forwarding/part_guard.py
+++ b/src/peridothitch/gateway/forwarding/part_guard.py
@@ -216,7 +216,8 @@
             }
             chosen = sorted(sent_at_by_part, key=self._report_order(report.service))
             crash.report_count += 1
-        self._metrics.count("upstream_crashes", service=report.service)
+        if crash.report_count == 1:
+            self._metrics.count("upstream_crashes", service=report.service)
         if not chosen:
             return
         chosen = chosen[:_MAX_PARTS_IN_REPORT]
