Count the wait for lapsed records from the change, not from its arrival

Three of four upstreams that a reclaim took left the store at once. A third of all records gone together counts as a lapse, so the catalogue kept the upstreams for 2 s; edge-hakata-3, which isn't a relay, heard of the change 0.7 s late and kept them for 2 s from then. Ruled out: late watches of the relays (18 to 28 ms), the partial outage of another host.

Change: replies between hosts contain the age of the oldest change that the asking host lacks, and the wait counts from that. They contain the store's last outage as well, so that hosts that don't watch the store tell a lapse from a reclaim; time in which the store rejected one host alone isn't an outage. After an outage the wait is 1 s longer: a scenario showed a host without any upstream between the lapse and the late arrival of the new records. Ages that can't be (not a number, negative) make the exchange fail and change nothing; they ended the loop of exchanges before. Lapsed hosts are looked for each 100 ms instead of 250 ms: 0.3 s of batching, 2 s and 0.25 s were over 2.5 s.

--- a/features/relay_fleet.py
+++ b/features/relay_fleet.py
@@ -24,11 +24,18 @@
         self.is_loaded = True
         self.is_watching = False
         self.is_store_reachable = True
+        self.last_outage = None
+
+    def record_peer_contact(self, at):
+        pass
+
+    def first_change_after(self, revision):
+        return None
 
     def state(self):
         return mirror.MirrorState(PREFIX, self.version[0])
 
-    def merge(self, state):
+    def merge(self, state, changed_at=None):
         if state.revision <= self.version[0]:
             return False
         self.version = (state.revision, state.revision)
--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -5,6 +5,7 @@
 whether updates arrive from the store or from a host.
 """
 
+import collections
 import datetime
 import random
 import threading
@@ -31,6 +32,10 @@
 _MAX_RETRY_DELAY = datetime.timedelta(seconds=1)
 """Delay between calls to a store that refuses them; refused calls are billed, too."""
 
+_RETAINED_CHANGES = 64
+"""Times of the last changes are kept for hosts that lack several of them."""
+
+_ZERO = datetime.timedelta(0)
 _log = logbook.Logger(__name__)
 
 
@@ -92,8 +97,9 @@
         self._should_watch = _always
         self._is_watching = False
         self._lost_at = None
-        self._regained_at = None
-        self._outage = datetime.timedelta(0)
+        self._outage_began_at = None
+        self._last_outage = None
+        self._changes = collections.deque(maxlen=_RETAINED_CHANGES)
 
     @property
     def is_loaded(self):
@@ -112,10 +118,59 @@
 
     @property
     def last_outage(self):
-        """End of the last outage as monotonic time and its duration, or None."""
-        if self._regained_at is None:
-            return None
-        return self._regained_at, self._outage
+        """End of the store's last outage as monotonic time and its length, or None."""
+        return self._last_outage
+
+    def current_outage(self, now):
+        """Return how long no host is known to have reached the store, zero if one has.
+
+        Parameters
+        ----------
+        now : datetime.timedelta
+            Monotonic time.
+        """
+        began_at = self._outage_began_at
+        return max(_ZERO, now - began_at) if began_at is not None else _ZERO
+
+    def record_peer_contact(self, at):
+        """Record that another host reached the store at a monotonic time.
+
+        While a store rejects this host alone, no records lapse.
+        """
+        with self._lock:
+            if self._outage_began_at is not None:
+                self._outage_began_at = max(self._outage_began_at, at)
+
+    def record_outage(self, ended_at, length):
+        """Record an outage of the store that another host has observed.
+
+        Parameters
+        ----------
+        ended_at : datetime.timedelta
+            Monotonic time.
+        length : datetime.timedelta
+        """
+        with self._lock:
+            if self._last_outage is None or ended_at > self._last_outage[0]:
+                self._last_outage = ended_at, length
+
+    @property
+    def changed_at(self):
+        """Monotonic time of the last change, as far as known; None before the first."""
+        with self._lock:
+            return self._changes[-1][1] if self._changes else None
+
+    def first_change_after(self, revision):
+        """Return the monotonic time of the oldest known change after a revision.
+
+        Returns
+        -------
+        datetime.timedelta or None
+        """
+        with self._lock:
+            return next(
+                (at for changed, at in self._changes if changed > revision), None
+            )
 
     @property
     def version(self):
@@ -150,8 +205,15 @@
             )
             return MirrorState(self.prefix, self.revision, items)
 
-    def merge(self, state):
-        """Adopt another host's content if it is newer; returns whether it was."""
+    def merge(self, state, changed_at=None):
+        """Adopt another host's content if it is newer; returns whether it was.
+
+        Parameters
+        ----------
+        state : MirrorState
+        changed_at : datetime.timedelta or None
+            Monotonic time at which the first host knew of the change; None for now.
+        """
         item_by_key = {
             item.key: store.KeyValue(
                 key=item.key,
@@ -162,7 +224,7 @@
             )
             for item in state.items
         }
-        return self._replace(item_by_key, state.revision, "peer")
+        return self._replace(item_by_key, state.revision, "peer", changed_at)
 
     def read(self):
         """Read all keys once.
@@ -230,7 +292,7 @@
                 changed |= self._apply_one(event)
             self.revision = max(self.revision, revision)
             if changed:
-                self._notify_subscribers("store")
+                self._notify_subscribers("store", self._clock.monotonic())
 
     def _apply_one(self, event):
         key = event.item.key
@@ -244,7 +306,7 @@
         self._item_by_key[key] = event.item
         return True
 
-    def _replace(self, item_by_key, revision, source):
+    def _replace(self, item_by_key, revision, source, changed_at=None):
         with self._lock:
             if revision <= self.revision:
                 return False
@@ -252,10 +314,14 @@
             self.revision = revision
             self._item_by_key = item_by_key
             if _revisions(item_by_key) != before or not self._digest:
-                self._notify_subscribers(source)
+                now = self._clock.monotonic()
+                self._notify_subscribers(
+                    source, now if changed_at is None else changed_at
+                )
             return True
 
-    def _notify_subscribers(self, source):
+    def _notify_subscribers(self, source, changed_at):
+        self._changes.append((self.revision, changed_at))
         text = repr(sorted(_revisions(self._item_by_key).items()))
         self._digest = xxhash.xxh32_intdigest(text.encode()) or 1
         self._metrics.count("mirror_changes", prefix=self.prefix, source=source)
@@ -273,19 +339,19 @@
         if self._lost_at is None:
             return
         now = self._clock.monotonic()
-        self._outage = now - self._lost_at
-        self._regained_at = now
-        self._lost_at = None
+        lost_at = self._lost_at
+        self.record_outage(now, self.current_outage(now))
+        self._lost_at = self._outage_began_at = None
         _log.info(
             "store regained",
             prefix=self.prefix,
-            after_ms=int(self._outage.total_seconds() * 1000),
+            after_ms=int((now - lost_at).total_seconds() * 1000),
         )
 
     def _record_failure(self, error):
         self._metrics.count("mirror_failures", prefix=self.prefix)
         if self._lost_at is None:
-            self._lost_at = self._clock.monotonic()
+            self._lost_at = self._outage_began_at = self._clock.monotonic()
             _log.info("store lost", prefix=self.prefix, reason=error.detail)
 
 
--- a/src/peridothitch/gateway/forwarding/catalogue.py
+++ b/src/peridothitch/gateway/forwarding/catalogue.py
@@ -14,11 +14,18 @@
 _LAPSE_GRACE = datetime.timedelta(seconds=2)
 """Hosts whose records lapsed in a store outage register again within this time."""
 
-_MIN_OUTAGE = datetime.timedelta(milliseconds=800)
-"""No record lapses during a shorter loss of contact with the store."""
+_RETURN_DELAY = datetime.timedelta(seconds=1)
+"""Time in which a record that was written again reaches all entry hosts."""
+
+_MIN_OUTAGE = datetime.timedelta(seconds=2)
+"""No record lapses in a shorter outage: hosts write theirs again every second or so
+and a record lapses after three times that.
+"""
 
 _MASS_HOSTS = 3
-"""This many hosts, and a third of all, disappear at once only when records lapse."""
+"""This many hosts, and a third of all, may have disappeared because records lapsed
+in an outage that no entry host noticed; or they all leave in a reclaim.
+"""
 
 _log = logbook.Logger(__name__)
 
@@ -189,19 +196,25 @@
         is_mass = len(missing) >= _MASS_HOSTS and 3 * len(missing) >= len(
             self._decoded_by_key
         )
-        if not is_mass and not self._may_have_lapsed(now):
+        if self._had_outage(now):
+            until = now + _LAPSE_GRACE + _RETURN_DELAY
+        elif is_mass:
+            # A host that leaves may be used only for a time that starts at the change
+            # itself, however late this entry host hears of it.
+            until = (self._hosts.changed_at or now) + _LAPSE_GRACE
+        else:
             return
         for key, host in missing.items():
-            self._lapsed_by_key[key] = host, now + _LAPSE_GRACE
+            self._lapsed_by_key[key] = host, until
 
-    def _may_have_lapsed(self, now):
-        outage = self._hosts.last_outage
-        if not self._hosts.is_store_reachable:
+    def _had_outage(self, now):
+        """Return whether the store is, or was until recently, out of reach for all."""
+        if self._hosts.current_outage(now) >= _MIN_OUTAGE:
             return True
-        if outage is None:
+        if self._hosts.last_outage is None:
             return False
-        ended_at, length = outage
-        return length >= _MIN_OUTAGE and now - ended_at <= _LAPSE_GRACE
+        ended_at, length = self._hosts.last_outage
+        return length >= _MIN_OUTAGE and now - ended_at <= _LAPSE_GRACE + _RETURN_DELAY
 
     def _collect_hosts(self, now):
         self._lapsed_by_key = {
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -45,7 +45,7 @@
 _BACKGROUND_THREADS = 24
 _INCARNATION_BYTES = 6
 _RETAINED_WINDOWS = 8
-_TIDY_PERIOD = datetime.timedelta(milliseconds=250)
+_TIDY_PERIOD = datetime.timedelta(milliseconds=100)
 _DRAIN_SHARE = 0.86
 """Share of the time until a process is killed in which its requests may end.
 
--- a/src/peridothitch/gateway/forwarding/peer_sync.py
+++ b/src/peridothitch/gateway/forwarding/peer_sync.py
@@ -37,6 +37,7 @@
 _STANDBY_DELAY = datetime.timedelta(milliseconds=300)
 """Between one host that starts to follow the store for the relays and the next."""
 
+_MAX_AGE = datetime.timedelta(days=365)
 _ZERO = datetime.timedelta(0)
 _log = logbook.Logger(__name__)
 
@@ -65,6 +66,11 @@
     source_age : float
         Seconds since that contact.
     parts : tuple of peridothitch.coordination.mirror_parts.MirrorPart
+    change_age_by_prefix : dict of str to float
+        Seconds since the oldest of the changes that the requesting host lacks.
+    outage_age, outage_seconds : float
+        Seconds since the end of the store's last outage, and its length; 0 if there
+        was none.
     """
 
     states: tuple[mirror.MirrorState, ...]
@@ -72,6 +78,9 @@
     source: str = ""
     source_age: float = 0.0
     parts: tuple[mirror_parts.MirrorPart, ...] = ()
+    change_age_by_prefix: dict[str, float] = {}
+    outage_age: float = 0.0
+    outage_seconds: float = 0.0
 
 
 class SharedClock(clocks.Clock):
@@ -170,11 +179,30 @@
             return self._peers.host_id, self._clock.monotonic()
         return self._source, self._source_at
 
-    def _record_source(self, sync_reply):
-        at = self._clock.monotonic() - datetime.timedelta(seconds=sync_reply.source_age)
+    def _record_source(self, sync_reply, began):
+        at = began - datetime.timedelta(seconds=sync_reply.source_age)
         # A contact of this host that peers report back is not a new one.
         if sync_reply.source not in ("", self._peers.host_id) and at > self._source_at:
             self._source, self._source_at = sync_reply.source, at
+            for own_mirror in self._mirror_by_prefix.values():
+                own_mirror.record_peer_contact(at)
+
+    def _record_outage(self, sync_reply, began):
+        if not sync_reply.outage_seconds:
+            return
+        ended_at = began - datetime.timedelta(seconds=sync_reply.outage_age)
+        length = datetime.timedelta(seconds=sync_reply.outage_seconds)
+        for own_mirror in self._mirror_by_prefix.values():
+            own_mirror.record_outage(ended_at, length)
+
+    def _last_outage(self):
+        """Return the end and the length of the store's last outage, None if none."""
+        outages = [
+            own_mirror.last_outage
+            for own_mirror in self._mirror_by_prefix.values()
+            if own_mirror.last_outage is not None
+        ]
+        return max(outages, default=None)
 
     def _choose_peer(self):
         """Return the peer to ask: alternately one towards a relay and a random one."""
@@ -198,14 +226,16 @@
         if host_id is None:
             return False
         has_changes = False
+        began = self._clock.monotonic()
         while (sync_reply := self._call(host_id)) is not None:
             try:
                 states = [self._add_part(part) for part in sync_reply.parts]
             except ValueError as error:
                 self._record_failure(host_id, error)
                 break
-            has_changes |= self._merge(sync_reply.states)
-            has_changes |= self._merge(state for state in states if state is not None)
+            complete = (state for state in states if state is not None)
+            for state in (*sync_reply.states, *complete):
+                has_changes |= self._merge(state, sync_reply, began)
             if None not in states:
                 break
         return has_changes
@@ -228,15 +258,23 @@
                 host_id, _METHOD, msgspec.msgpack.encode(request), _TIMEOUT
             )
             sync_reply = msgspec.msgpack.decode(reply, type=_SyncReply)
-        except (errors.PeerError, msgspec.MsgspecError) as error:
+            _check_ages(sync_reply)
+            moment = datetime.datetime.fromtimestamp(sync_reply.now, datetime.UTC)
+        except (
+            errors.PeerError,
+            msgspec.MsgspecError,
+            ValueError,
+            OverflowError,
+            OSError,
+        ) as error:
             self._record_failure(host_id, error)
             return None
         ended = self._answered_at = self._clock.monotonic()
-        moment = datetime.datetime.fromtimestamp(sync_reply.now, datetime.UTC)
         self._shared_clock.record_peer_time(
             host_id, moment, began + (ended - began) / 2
         )
-        self._record_source(sync_reply)
+        self._record_source(sync_reply, began)
+        self._record_outage(sync_reply, began)
         for received in (*sync_reply.states, *sync_reply.parts):
             _log.info(
                 "keys received",
@@ -259,21 +297,23 @@
             raise ValueError(f"keys below {part.prefix!r} were not requested")
         return download.add(part)
 
-    def _merge(self, states):
-        has_changes = False
-        for state in states:
-            own_mirror = self._mirror_by_prefix.get(state.prefix)
-            if own_mirror is not None and own_mirror.merge(state):
-                has_changes = True
-                self._metrics.count("peer_sync_news", prefix=state.prefix)
-        return has_changes
+    def _merge(self, state, sync_reply, began):
+        own_mirror = self._mirror_by_prefix.get(state.prefix)
+        if own_mirror is None:
+            return False
+        age = sync_reply.change_age_by_prefix.get(state.prefix, 0.0)
+        if not own_mirror.merge(state, began - datetime.timedelta(seconds=age)):
+            return False
+        self._metrics.count("peer_sync_news", prefix=state.prefix)
+        return True
 
     def _answer(self, payload):
         try:
             request = msgspec.msgpack.decode(payload, type=_SyncRequest)
         except msgspec.MsgspecError as error:
             raise errors.PeerError(f"malformed question: {error}", True) from None
-        states, parts = [], []
+        now = self._clock.monotonic()
+        states, parts, change_age_by_prefix = [], [], {}
         for prefix, (revision, digest) in request.version_by_prefix.items():
             own_mirror = self._mirror_by_prefix.get(prefix)
             if own_mirror is None or not own_mirror.is_loaded:
@@ -281,21 +321,45 @@
             own_revision, own_digest = own_mirror.version
             if own_revision <= revision or own_digest == digest:
                 continue
+            changed_at = own_mirror.first_change_after(revision)
+            if changed_at is not None:
+                change_age_by_prefix[prefix] = _seconds_since(changed_at, now)
             if request.progress_by_prefix is None:
                 states.append(own_mirror.state())
                 continue
             progress = request.progress_by_prefix.get(prefix, mirror_parts.Progress())
             parts.append(self._source_by_prefix[prefix].next_part(revision, progress))
         source, at = self._last_contact()
+        outage_ended_at, outage = self._last_outage() or (now, _ZERO)
         sync_reply = _SyncReply(
             tuple(states),
             self._shared_clock.now().timestamp(),
             source,
-            (self._clock.monotonic() - at).total_seconds(),
+            _seconds_since(at, now),
             tuple(parts),
+            change_age_by_prefix,
+            _seconds_since(outage_ended_at, now),
+            outage.total_seconds(),
         )
         return msgspec.msgpack.encode(sync_reply)
 
 
+def _check_ages(sync_reply):
+    """Raise a `ValueError` if an age in a reply can't be one."""
+    ages = (
+        sync_reply.source_age,
+        sync_reply.outage_age,
+        sync_reply.outage_seconds,
+        *sync_reply.change_age_by_prefix.values(),
+    )
+    for age in ages:
+        if not 0.0 <= age <= _MAX_AGE.total_seconds():
+            raise ValueError(f"age of {age} s is out of range")
+
+
+def _seconds_since(moment, now):
+    return min(max(_ZERO, now - moment), _MAX_AGE).total_seconds()
+
+
 def _to_milliseconds(duration):
     return int(duration / datetime.timedelta(milliseconds=1))
