Lend parts of quotas between entry hosts in place of a relaxed limit

Cause: each host compared a customer's use with its own share.

Change: no host uses more than its share. What does not fit it asks up to four others for, which count it against theirs (one call between hosts, never one to the store). Where an equal share holds fewer than 12 requests, the quota is divided among a few owners, spread over the data centres by rendezvous hashing; where it still holds two, the other hosts keep half of it for times when they are cut off. Large shares expire after 4 s without contact, and what a process that ended may have used counts until it leaves the window. After a restart of all, hosts keep equal shares until the views are settled. Weighed: an owner chosen by each host from its own list of members (two owners after a partition), a call for each request to the holder (all load on one host), owners named in the store (calls to the platform).

--- a/features/steps/fleet_reports_steps.py
+++ b/features/steps/fleet_reports_steps.py
@@ -50,6 +50,7 @@
             lambda host_id=host_id, number=number: fleet_reports.HostReport(
                 host_id, "p", {100: {"lanark": 10**number}}, {}, {}, {}, {}
             ),
+            dict,
             context.clock,
             metrics.Metrics(),
         )
--- a/features/steps/forwarding_decisions_steps.py
+++ b/features/steps/forwarding_decisions_steps.py
@@ -14,7 +14,6 @@
     admission,
     capacity_plan,
     event_stream,
-    quota_shares,
     route_index,
     true_time,
     usage_windows,
@@ -27,54 +26,6 @@
 _DATA_CENTRES = ("ayrshire-a", "fife-a", "lothian-a")
 
 
-@behave.then(
-    "in every history of reports, pauses and restarts the shares in use add up to"
-    " at most 1"
-)
-def check_shares(context):
-    events = st.lists(
-        st.tuples(
-            st.integers(0, 4),
-            st.sampled_from(("report", "restart", "wait")),
-            st.floats(0.0, 1000.0),
-            st.floats(0.0, 1.0),
-        ),
-        max_size=60,
-    )
-
-    @_SETTINGS
-    @hypothesis.given(events)
-    def run(history):
-        _simulate_shares(history)
-
-    run()
-
-
-def _simulate_shares(history):
-    ledger = quota_shares.QuotaShares()
-    count = 5
-    share_by_host = {number: 1 / count for number in range(count)}
-    incarnation_by_host = dict.fromkeys(range(count), 0)
-    now = datetime.timedelta(0)
-    for host, kind, demand, elapsed in history:
-        now += elapsed * _SECOND
-        if kind == "wait":
-            continue
-        if kind == "restart":
-            incarnation_by_host[host] += 1
-        report = quota_shares.QuotaReport(
-            host_id=str(host),
-            incarnation=str(incarnation_by_host[host]),
-            share_by_customer={"c": share_by_host[host]},
-            used_by_customer={"c": share_by_host[host]},
-            demand_by_customer={"c": demand},
-        )
-        shares = ledger.grant(report, count, now)
-        share_by_host[host] = shares.get("c", 1 / count)
-        total = sum(share_by_host.values())
-        assert total <= 1 + 1e-9, share_by_host
-
-
 @behave.when(
     "{count:d} hosts receive requests for {multiple:g} times a quota for"
     " {seconds:d} seconds"
--- a/features/steps/quota_book_steps.py
+++ b/features/steps/quota_book_steps.py
@@ -8,9 +8,10 @@
 
 from peridothitch import errors
 from peridothitch.adapters import metrics
+from peridothitch.coordination import single_host
 from peridothitch.gateway.forwarding import fleet_reports, quota_limiter
 from peridothitch.policy import token_quota
-from peridothitch.ports import forwarding
+from peridothitch.ports import forwarding, peers
 
 _HOST_COUNT = 7
 _TOKENS_PER_REQUEST = 1000
@@ -23,7 +24,13 @@
         name=quota_fleet.CUSTOMER, quota=quota_fleet.QUOTA
     )
     context.limiter = quota_limiter.QuotaLimiter(
-        quota_fleet.BOUNDS, lambda: _HOST_COUNT, context.clock, metrics.Metrics()
+        quota_fleet.BOUNDS,
+        lambda: _HOST_COUNT,
+        single_host.SingleHostPeers(
+            peers.Peer(host_id="edge-1", address="", data_centre="lothian-a")
+        ),
+        context.clock,
+        metrics.Metrics(),
     )
     table = forwarding.RoutingTable(version=1, customer_by_key={"k": context.customer})
     context.limiter.update_table(table)
@@ -47,9 +54,8 @@
     while requested_tokens < 4 * context.share:
         requested_tokens += _TOKENS_PER_REQUEST
         try:
-            context.admitted += context.limiter.reserve(
-                context.customer, _TOKENS_PER_REQUEST
-            )
+            reservation = context.limiter.reserve(context.customer, _TOKENS_PER_REQUEST)
+            context.admitted += reservation.units
         except errors.RequestError:
             continue
 
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -27,9 +27,10 @@
     retry_budgets,
     upstream_limits,
     upstream_pool,
+    usage_counter,
     version_moves,
 )
-from peridothitch.policy import admission, usage_windows
+from peridothitch.policy import admission
 
 __all__ = ["ForwardingHost"]
 
@@ -44,7 +45,6 @@
 
 _BACKGROUND_THREADS = 24
 _INCARNATION_BYTES = 6
-_RETAINED_WINDOWS = 8
 _TIDY_PERIOD = datetime.timedelta(milliseconds=100)
 _DRAIN_SHARE = 0.86
 """Share of the time until a process is killed in which its requests may end.
@@ -102,12 +102,11 @@
         )
         for store_mirror in self._mirrors:
             store_mirror.watch_if(self._sync.should_follow_store)
-        self._windows = usage_windows.UsageWindows(
-            settings.bounds.usage_window, _RETAINED_WINDOWS
+        self._usage = usage_counter.UsageCounter(
+            settings.bounds.usage_window, self._shared_clock
         )
-        self._windows_lock = threading.Lock()
         self._quotas = quota_limiter.QuotaLimiter(
-            settings.bounds, self._count_hosts, clock, self.metrics
+            settings.bounds, self._count_hosts, peers, clock, self.metrics
         )
         self._budgets = retry_budgets.RetryBudgets(
             settings.bounds, self._count_hosts, self.metrics
@@ -124,9 +123,7 @@
             settings.host_id,
             clock,
         )
-        self._reports = fleet_reports.FleetReports(
-            peers, self._find_holder, self._make_report, clock, self.metrics
-        )
+        self._reports = self._make_reports(peers)
         self._reports.subscribe(self._quotas.apply_view)
         self._leases = leases
         leases.subscribe(self._apply_record)
@@ -182,6 +179,16 @@
             _BACKGROUND_THREADS, thread_name_prefix="background"
         )
 
+    def _make_reports(self, peers):
+        return fleet_reports.FleetReports(
+            peers,
+            self._find_holder,
+            self._make_report,
+            self._quotas.terms,
+            self._clock,
+            self.metrics,
+        )
+
     def _make_mirrors(self, store):
         record_codec = self._platform.record_codec
         return tuple(
@@ -202,7 +209,7 @@
             budgets=self._budgets,
             crash_guard=self._crash_guard,
             part_guard=self._part_guard,
-            record_usage=self._record_usage,
+            record_usage=self._usage.record,
             moves=self._moves,
             clock=self._clock,
             metrics=self.metrics,
@@ -326,6 +333,7 @@
         self._server.close()
         for server in self._status_servers:
             server.close()
+        self._quotas.close()
         self._background.shutdown(wait=False, cancel_futures=True)
         self._fleet.close()
         _log.info("stopped", active=self._handler.active)
@@ -374,23 +382,15 @@
     def _find_holder(self):
         return self._duty_runner.find_holder()
 
-    def _record_usage(self, job, moment):
-        if job.customer is None:
-            return
-        began = self._shared_clock.now() - (self._clock.monotonic() - moment)
-        with self._windows_lock:
-            self._windows.add(job.customer.name, began)
-
     def _make_report(self):
-        with self._windows_lock:
-            counts = self._windows.counts()
         return fleet_reports.HostReport(
             host_id=self._settings.host_id,
             incarnation=self._incarnation,
-            counts_by_window=counts,
+            counts_by_window=self._usage.counts(),
             demand_by_customer=self._quotas.demand(),
             share_by_customer=self._quotas.shares(),
             used_by_customer=self._quotas.used(),
             busy_by_service=self._busy.busy_by_service(),
             size_by_customer=self._quotas.sizes(),
+            lenders_digest=self._quotas.lenders_digest,
         )
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -17,6 +17,7 @@
 
 import logbook
 import msgspec
+import xxhash
 
 from peridothitch import errors
 from peridothitch.coordination import relays
@@ -81,6 +82,8 @@
         Whether the process is stopping; other hosts then forward its counts.
     size_by_customer : dict of str to float
         Mean units of the quotas that a request requires.
+    lenders_digest : int
+        Digest of the lenders that this host knows, 0 if it knows none.
     """
 
     host_id: str
@@ -94,6 +97,7 @@
     departed: tuple[ProcessCounts, ...] = ()
     is_final: bool = False
     size_by_customer: dict[str, float] = {}
+    lenders_digest: int = 0
 
 
 class FleetView(msgspec.Struct, frozen=True, array_like=True):
@@ -109,12 +113,18 @@
     age_seconds : float
         How long the demand of all hosts has been known: by the holder, or by a host
         that has reported recently, whichever is longer.
+    lenders_by_customer : dict of str to tuple of str, or None
+        Hosts to ask for what does not fit into the own share; None if the host that
+        reports knows them.
+    lenders_digest : int
     """
 
     host_count: int
     demand_by_customer: dict[str, float]
     share_by_customer: dict[str, float]
     age_seconds: float
+    lenders_by_customer: dict[str, tuple[str, ...]] | None = None
+    lenders_digest: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -134,6 +144,8 @@
         Returns the id of the host that holds the duties, empty if there is none.
     make_report : callable
         Returns this host's `HostReport`.
+    find_terms : callable
+        Returns a `peridothitch.policy.quota_shares.QuotaTerms` by customer.
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
 
@@ -143,10 +155,11 @@
         The last view that a holder sent.
     """
 
-    def __init__(self, peers, find_holder, make_report, clock, metrics):
+    def __init__(self, peers, find_holder, make_report, find_terms, clock, metrics):
         self._peers = peers
         self._find_holder = find_holder
         self._make_report = make_report
+        self._find_terms = find_terms
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
@@ -288,13 +301,25 @@
 
     def _view_for(self, report):
         now = self._clock.monotonic()
-        live_count = len(self._peers.members())
+        members, terms_by_customer = self._peers.members(), self._find_terms()
         with self._lock:
-            shares = self._shares.grant(_quota_report(report), live_count, now)
-            host_count = max(live_count, self._shares.host_count)
+            grant = self._shares.grant(
+                _quota_report(report), members, now, terms_by_customer
+            )
+            host_count = max(len(members), self._shares.host_count)
             ages = [entry.settled_seconds for entry in self._recent_reports_locked(now)]
             age = max([self._shares.age(now).total_seconds(), *ages])
-            return FleetView(host_count, self._shares.demand(), shares, age)
+            demand = self._shares.demand()
+        lenders = grant.lenders_by_customer
+        digest = _digest(lenders)
+        return FleetView(
+            host_count,
+            demand,
+            grant.share_by_customer,
+            age,
+            lenders if digest != report.lenders_digest else None,
+            digest,
+        )
 
     def busy_by_service(self):
         """Return the number of busy upstream hosts over all entry hosts, by service."""
@@ -313,6 +338,11 @@
             }
 
 
+def _digest(lenders_by_customer):
+    text = repr(sorted(lenders_by_customer.items()))
+    return xxhash.xxh32_intdigest(text.encode()) or 1
+
+
 def _quota_report(report):
     return quota_shares.QuotaReport(
         host_id=report.host_id,
--- a/src/peridothitch/gateway/forwarding/handler.py
+++ b/src/peridothitch/gateway/forwarding/handler.py
@@ -148,17 +148,17 @@
                 retry_after=_SUSPENDED_RETRY_AFTER,
             )
         deps.part_guard.check(job.service, job.shared_parts)
-        units = 0.0
+        reservation = None
         if job.customer is not None:
-            units = self._quotas.reserve(job.customer, job.metadata.tokens)
+            reservation = self._quotas.reserve(job.customer, job.metadata.tokens)
         try:
             sender = retrying_sender.RetryingSender(deps, job, self._admit(job))
             if job.may_repeat or job.route.streamed:
                 response_writer.on_disconnect(sender.cancel)
             status = delivery.deliver(deps, job, sender, response_writer)
         except errors.RequestError as error:
-            if error.ran is errors.Ran.NO and job.customer is not None:
-                self._quotas.release(job.customer, units)
+            if error.ran is errors.Ran.NO and reservation is not None:
+                self._quotas.release(job.customer, reservation)
             raise
         elapsed_time = deps.clock.monotonic() - job.request.arrived
         _log.info(
--- a/src/peridothitch/gateway/forwarding/quota_limiter.py
+++ b/src/peridothitch/gateway/forwarding/quota_limiter.py
@@ -1,29 +1,42 @@
-"""Enforces customers' quotas over all entry hosts."""
+"""Enforces customers' quotas over all entry hosts.
 
+Each host admits requests against its own shares of the quotas. What does not fit it
+asks other hosts for: they count it against theirs. The sum over all hosts therefore
+stays within the quota whether the hosts reach each other or not.
+"""
+
+import dataclasses
 import datetime
 import random
 import threading
 
 from peridothitch import errors
-from peridothitch.policy import quota_shares, token_quota
+from peridothitch.gateway.forwarding import quota_loans
+from peridothitch.policy import quota_owners, quota_shares, token_quota
 
-__all__ = ["QuotaLimiter"]
+__all__ = ["QuotaLimiter", "Reservation"]
 
 _MAX_RETRY_AFTER = datetime.timedelta(seconds=5)
-_MAX_VIEW_AGE = datetime.timedelta(seconds=1.6)
-"""Oldest view that counts as current.
+_EXHAUSTING_DEMAND_FACTOR = 1.3
+"""Demand, as a multiple of the permitted use, at which no share has anything left."""
 
-Covers the report interval of 1 s, the timeout of a report, 0.5 s, and 0.1 s more.
-"""
+_ASSUMED_TOKENS = 4000.0
+"""Tokens of a request until some requests of a customer have been measured."""
 
-_SETTLED_AGE_SECONDS = 3.0
-"""Age of a view from which its total demand covers all hosts."""
 
-_EXPIRED_SHARE_FACTOR = 0.25
-"""Part of an even share that a host may use once its grant has expired.
+@dataclasses.dataclass(frozen=True)
+class Reservation:
+    """Units of a customer's quota that a request may use.
 
-Other hosts may have been granted its share by then.
-"""
+    Attributes
+    ----------
+    units : float
+    lender_id : str
+        Host whose share covers them; empty for this host.
+    """
+
+    units: float
+    lender_id: str = ""
 
 
 class QuotaLimiter:
@@ -34,8 +47,10 @@
     bounds : peridothitch.ports.entry_settings.OperatingBounds
     host_count : callable
         Returns the number of entry hosts believed live.
+    peers : peridothitch.ports.peers.Peers
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
+    random_source : random.Random or None
 
     Attributes
     ----------
@@ -43,21 +58,27 @@
         May be replaced at any time.
     """
 
-    def __init__(self, bounds, host_count, clock, metrics):
+    def __init__(self, bounds, host_count, peers, clock, metrics, random_source=None):
         self.bounds = bounds
         self._host_count = host_count
+        self._peers = peers
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
+        self._customer_by_name = {}
         self._meter_by_name = {}
         self._fleet_limit_by_name = {}
         self._share_by_name = {}
-        self._random = random.Random()
+        self._lenders_by_name = {}
+        self._lenders_digest = 0
+        self._random = random_source or random.Random()
         self._started_at = clock.monotonic()
         self._granted_at = None
-        self._total_demand_by_name = None
+        self._is_settled = False
+        self._total_demand_by_name = {}
         self._is_corrected_from_demand = False
         self._recorded_part_by_name = None
+        self._loans = quota_loans.Loans(peers, self._lend, clock, metrics)
 
     def update_table(self, table):
         """Create the meters for a `peridothitch.ports.forwarding.RoutingTable`.
@@ -68,9 +89,13 @@
         """
         now = self._clock.monotonic().total_seconds()
         with self._lock:
-            for customer in table.customer_by_key.values():
-                if customer.quota is not None:
-                    self._updated_meter(customer, now)
+            self._customer_by_name = {
+                customer.name: customer
+                for customer in table.customer_by_key.values()
+                if customer.quota is not None
+            }
+            for customer in self._customer_by_name.values():
+                self._updated_meter(customer, now)
 
     def apply_record(self, record):
         """Apply the first fleet record that is read from the store; ignore later ones.
@@ -102,8 +127,8 @@
 
         Returns
         -------
-        float
-            Units reserved; to be released if the request does not run.
+        Reservation
+            To be released if the request does not run.
 
         Raises
         ------
@@ -112,16 +137,26 @@
         """
         quota = customer.quota
         if quota is None:
-            return 0.0
+            return Reservation(0.0)
         units = 1.0
         if quota.counts_tokens:
             units = float(tokens or quota.default_tokens)
         now = self._clock.monotonic().total_seconds()
         with self._lock:
             meter = self._updated_meter(customer, now)
-            if meter.admit(units, now, self._relaxed_limit(customer, now)):
-                return units
-            wait = datetime.timedelta(seconds=meter.wait_seconds(units, now))
+            owns_share = bool(meter.limit)
+            recorded_limit = self._recorded_limit(customer)
+            may_admit = owns_share or recorded_limit
+            if may_admit and meter.admit(units, now, recorded_limit):
+                return Reservation(units)
+            wait_seconds = meter.wait_seconds(units, now)
+            lender_ids = self._find_lenders(customer, owns_share)
+        request = quota_loans.LoanRequest(customer.name, units, not owns_share)
+        for lender_id, reply in self._loans.ask(lender_ids, request):
+            if reply.is_lent:
+                return Reservation(units, lender_id)
+            wait_seconds = min(wait_seconds, reply.wait_seconds)
+        wait = datetime.timedelta(seconds=wait_seconds)
         self._metrics.count("quota_refusals", customer=customer.name)
         raise errors.RequestError(
             errors.Code.QUOTA_REACHED,
@@ -131,41 +166,79 @@
             retry_after=min(wait, _MAX_RETRY_AFTER),
         )
 
-    def _relaxed_limit(self, customer, now):
-        if self._total_demand_by_name is None:
-            return self._recorded_limit(customer)
-        if self._clock.monotonic() - self._granted_at > _MAX_VIEW_AGE:
-            # A disconnected host does not see demand rise elsewhere.
-            return 0.0
-        name, host_count = customer.name, self._host_count()
-        total = self._total_demand_by_name.get(name, 0.0)
-        demand = self._meter_by_name[name].demand(now)
-        share = token_quota.share_of(demand, total, host_count)
-        return token_quota.relaxed_limit(
-            total,
-            customer.quota,
-            self._fleet_limit_by_name[name],
-            max(share, self._share(name)),
-            host_count,
-        )
+    def _find_lenders(self, customer, owns_share):
+        """Return the hosts to ask for a request that this host can't admit."""
+        lender_ids = self._lenders_by_name.get(customer.name, ())
+        if not self._is_settled:
+            lender_ids = (*lender_ids, *self._draw_lenders())
+        total_demand = self._total_demand_by_name.get(customer.name, 0.0)
+        window = self.bounds.quota_window.total_seconds()
+        permitted = self._fleet_limit_by_name[customer.name] / window
+        if total_demand >= _EXHAUSTING_DEMAND_FACTOR * permitted:
+            # The other shares are used up as well.
+            lender_ids = () if owns_share else lender_ids[:1]
+        return lender_ids
+
+    def _draw_lenders(self):
+        """Return random hosts to ask while owners have not been granted shares."""
+        own_id = self._peers.host_id
+        others = [host_id for host_id in self._peers.members() if host_id != own_id]
+        count = min(quota_owners.LENDER_COUNT, len(others))
+        return tuple(self._random.sample(others, count))
+
+    def _lend(self, request):
+        """Return the reply to another host's request for a loan, None if it can't be.
+
+        Parameters
+        ----------
+        request : peridothitch.gateway.forwarding.quota_loans.LoanRequest
+        """
+        now = self._clock.monotonic().total_seconds()
+        units = request.units
+        with self._lock:
+            customer = self._customer_by_name.get(request.customer)
+            if customer is None:
+                return None
+            meter = self._updated_meter(customer, now)
+            if request.is_return:
+                meter.refund(units)
+                return quota_loans.LoanReply(True)
+            recorded_limit = self._recorded_limit(customer)
+            if meter.lend(units, now, request.adds_demand, recorded_limit):
+                return quota_loans.LoanReply(True)
+            return quota_loans.LoanReply(False, meter.wait_seconds(units, now))
 
     def _recorded_limit(self, customer):
         age = self._clock.monotonic() - self._started_at
-        if self._recorded_part_by_name is None or age > self.bounds.quota_window:
+        if (
+            self._is_settled
+            or self._recorded_part_by_name is None
+            or age > self.bounds.quota_window
+        ):
             return 0.0
         return token_quota.recorded_limit(
             self._recorded_part_by_name.get(customer.name, 0.0),
             self._fleet_limit_by_name[customer.name],
             self._share(customer.name),
-            self._host_count(),
         )
 
-    def release(self, customer, units):
+    def release(self, customer, reservation):
         """Release the units of a request that did not run."""
+        if not reservation.units:
+            return
+        if reservation.lender_id:
+            self._loans.give_back(
+                reservation.lender_id, customer.name, reservation.units
+            )
+            return
         with self._lock:
             meter = self._meter_by_name.get(customer.name)
-            if meter is not None and units:
-                meter.refund(units)
+            if meter is not None:
+                meter.refund(reservation.units)
+
+    def close(self):
+        """End the thread that returns loans."""
+        self._loans.close()
 
     def demand(self):
         """Return the demand at this host in units per second, by customer."""
@@ -195,17 +268,40 @@
         """Return the shares of whole quotas used in the last window, by customer."""
         now = self._clock.monotonic().total_seconds()
         with self._lock:
-            return {
+            parts = {
                 name: round(meter.used(now) / self._fleet_limit_by_name[name], 4)
                 for name, meter in self._meter_by_name.items()
             }
+        return {name: part for name, part in parts.items() if part}
+
+    def terms(self):
+        """Return a `peridothitch.policy.quota_shares.QuotaTerms` by customer."""
+        with self._lock:
+            return {
+                name: quota_shares.QuotaTerms(
+                    limit=self._fleet_limit_by_name[name],
+                    assumed_units=_ASSUMED_TOKENS
+                    if customer.quota.counts_tokens
+                    else 1,
+                )
+                for name, customer in self._customer_by_name.items()
+            }
+
+    @property
+    def lenders_digest(self):
+        """Digest of the lenders that this host knows, 0 if it knows none."""
+        return self._lenders_digest
 
     def apply_view(self, view):
         """Apply a `peridothitch.gateway.forwarding.fleet_reports.FleetView`."""
         with self._lock:
             self._share_by_name = dict(view.share_by_customer)
             self._granted_at = self._clock.monotonic()
-            if view.age_seconds >= _SETTLED_AGE_SECONDS:
+            if view.lenders_by_customer is not None:
+                self._lenders_by_name = dict(view.lenders_by_customer)
+                self._lenders_digest = view.lenders_digest
+            if view.age_seconds >= quota_shares.SETTLED_AGE.total_seconds():
+                self._is_settled = True
                 self._total_demand_by_name = dict(view.demand_by_customer)
             # A holder that has just started has not received all of the demand yet.
             window = self.bounds.quota_window.total_seconds()
@@ -215,10 +311,9 @@
 
     def _correct_from_demand(self, demand_by_customer):
         window = self.bounds.quota_window.total_seconds()
-        host_count = self._host_count()
         for name, meter in self._meter_by_name.items():
-            used_units = demand_by_customer.get(name, 0.0) * window / host_count
-            meter.scale_assumed_use(used_units / meter.limit if meter.limit else 1.0)
+            used_units = demand_by_customer.get(name, 0.0) * window
+            meter.scale_assumed_use(used_units / self._fleet_limit_by_name[name])
 
     def _share(self, name):
         even = 1.0 / self._host_count()
@@ -226,9 +321,7 @@
         if self._granted_at is None:
             return share
         age = self._clock.monotonic() - self._granted_at
-        if age > quota_shares.GRANT_LIFETIME:
-            return min(share, _EXPIRED_SHARE_FACTOR * even)
-        return share
+        return quota_shares.usable_share(share, even, age)
 
     def _updated_meter(self, customer, now):
         fleet_limit = token_quota.window_limit(customer.quota, self.bounds)
@@ -241,4 +334,11 @@
             self._meter_by_name[customer.name] = meter
             self._correct_from_record(customer.name, meter)
         meter.limit = limit
+        if self._is_owner(customer.name):
+            meter.burst_part = token_quota.OWNER_BURST_PART
         return meter
+
+    def _is_owner(self, name):
+        return quota_shares.is_large(
+            self._share_by_name.get(name, 0.0), 1.0 / self._host_count()
+        )
--- a/src/peridothitch/policy/token_quota.py
+++ b/src/peridothitch/policy/token_quota.py
@@ -12,9 +12,9 @@
 import math
 
 __all__ = [
+    "OWNER_BURST_PART",
     "CustomerMeter",
     "recorded_limit",
-    "relaxed_limit",
     "share_of",
     "window_limit",
 ]
@@ -28,19 +28,16 @@
 _DEMAND_SECONDS = 3.0
 """Time constant of the average demand; longer than the report interval of 1 s."""
 
-_RELAXED_DEMAND_PART = 0.85
-"""Demand, as a part of a quota's rate, below which shares don't limit a customer.
+_MAX_RECORDED_DEMAND_PART = 0.85
+"""Recorded demand, as a part of a quota's rate, up to which hosts admit at once.
 
-A sudden rise in demand appears in the hosts' reports before it can fill the window.
+Above it, the requests before a restart may have filled the window.
 """
 
-_RELAXED_FACTOR = 1.5
-"""Multiple of its share that a host admits while shares don't limit a customer."""
-
 _RECORDED_FACTOR = 0.8
-"""Multiple of an even share that a host which has just started admits at once.
+"""Part of its share that a host which has just started admits at once.
 
-Below 1, since the last request may exceed it by its whole size.
+What the process before it is assumed to have used counts, too.
 """
 
 _MIN_UNITS_PER_SECOND = 1e-9
@@ -53,6 +50,9 @@
 A starting process can then bound what the process before it may have used.
 """
 
+OWNER_BURST_PART = 0.7
+"""The same for an owner, whose use the granting host keeps if its process ends."""
+
 _ASSUMED_USE_PART = 1.0
 """Part of its share that a new process assumes the one before it used."""
 
@@ -92,33 +92,7 @@
     return (1 - even_part) * min(1.0, demand / total_demand) + even_part * even
 
 
-def relaxed_limit(total_demand, quota, fleet_limit, share, host_count):
-    """Return what a host may admit in a window while demand is well below the quota.
-
-    A share that is smaller than a request then causes no refusals.
-
-    Parameters
-    ----------
-    total_demand : float
-        Units per second requested at all hosts.
-    quota : peridothitch.ports.forwarding.Quota
-    fleet_limit : float
-        Units that the customer may use at all hosts in one window.
-    share : float
-        Share of this host.
-    host_count : int
-
-    Returns
-    -------
-    float
-        Units; 0 once the customer's demand is most of its quota.
-    """
-    if total_demand >= _RELAXED_DEMAND_PART * quota.rate:
-        return 0.0
-    return _RELAXED_FACTOR * max(share, 1.0 / max(1, host_count)) * fleet_limit
-
-
-def recorded_limit(part, fleet_limit, share, host_count):
+def recorded_limit(part, fleet_limit, share):
     """Return what a host may admit in a window before the demand is reported to it.
 
     Parameters
@@ -128,17 +102,16 @@
     fleet_limit : float
         Units that the customer may use at all hosts in one window.
     share : float
-        Share of this host.
-    host_count : int
+        Share of this host; an equal one until it has been granted one.
 
     Returns
     -------
     float
         Units; 0 if the customer's demand was most of its quota.
     """
-    if part >= _RELAXED_DEMAND_PART:
+    if part >= _MAX_RECORDED_DEMAND_PART:
         return 0.0
-    return _RECORDED_FACTOR * max(share, 1.0 / max(1, host_count)) * fleet_limit
+    return _RECORDED_FACTOR * share * fleet_limit
 
 
 def window_limit(quota, bounds):
@@ -179,6 +152,8 @@
     ----------
     limit : float
         Units that this host may admit in a window; may be replaced at any time.
+    burst_part : float
+        Part of the limit that may be used at once; may be replaced at any time.
     """
 
     def __init__(self, window, limit, now, random_source):
@@ -191,6 +166,7 @@
         self._mean_units = 0.0
         self._started_at = now
         self.limit = limit
+        self.burst_part = _BURST_PART
         self._bucket_units = 0.0
         self._refilled_at = now
         self._assumed_part = _ASSUMED_USE_PART
@@ -246,31 +222,54 @@
         self._expire(now)
         return self._used
 
-    def admit(self, units, now, relaxed_limit=0.0):
+    def admit(self, units, now, recorded_limit=0.0):
         """Admit a request if it fits; returns whether it was admitted.
 
         Parameters
         ----------
         units : float
         now : float
-        relaxed_limit : float
+        recorded_limit : float
             Units that this host may admit in a window whatever its share is; see the
-            function `relaxed_limit`.
+            function `recorded_limit`.
         """
         self._expire(now)
+        self._add_demand(units, now)
+        return self._admit(units, now, recorded_limit)
+
+    def lend(self, units, now, adds_demand, recorded_limit=0.0):
+        """Admit a request of another host if it fits; returns whether it was admitted.
+
+        Parameters
+        ----------
+        units : float
+        now : float
+        adds_demand : bool
+            Whether the request counts as demand at this host.
+        recorded_limit : float
+            See `admit`.
+        """
+        self._expire(now)
+        if adds_demand:
+            self._add_demand(units, now)
+        return self._admit(units, now, recorded_limit)
+
+    def _add_demand(self, units, now):
         self._demand = self._decayed_demand(now) + units / _DEMAND_SECONDS
         self._demand_at = now
         weight = _SIZE_WEIGHT if self._mean_units else 1.0
         self._mean_units += weight * (units - self._mean_units)
+
+    def _admit(self, units, now, recorded_limit):
         self._refill(now)
-        if self._used < relaxed_limit:
+        # A request that fits in part is admitted with that part as probability.
+        drawn_units = units * self._random.random()
+        if self._used + drawn_units <= recorded_limit:
             self._bucket_units = max(0.0, self._bucket_units - units)
             self._add(_Usage(now, units))
             return True
-        # A request that fits in part is admitted with that part as probability.
-        drawn_units = units * self._random.random()
         # A full bucket covers a request of any size; its level may become negative.
-        if min(drawn_units, _BURST_PART * self.limit) > self._bucket_units:
+        if min(drawn_units, self.burst_part * self.limit) > self._bucket_units:
             return False
         if self._used + drawn_units > self.limit:
             return False
@@ -282,7 +281,7 @@
         passed = max(0.0, now - self._refilled_at)
         self._refilled_at = now
         refilled = self._bucket_units + passed * self.limit / self._window
-        self._bucket_units = min(_BURST_PART * self.limit, refilled)
+        self._bucket_units = min(self.burst_part * self.limit, refilled)
 
     def refund(self, units):
         """Remove the units of a request that did not run from the recorded use."""
