Count a request that several lenders refuse once as demand

Each lender that was asked added the request to its demand, so the sum over hosts looked as if the quota was used up and the other lenders weren't asked.

Change: only the first lender counts it. Shares of 0 are no longer sent; a host that knows the lenders of a customer has no share of it unless it is told one.

--- a/features/quota_fleet.py
+++ b/features/quota_fleet.py
@@ -234,6 +234,13 @@
             )
         )
 
+    def demand(self):
+        """Return the tokens a second that the hosts report as requested."""
+        return sum(
+            host.limiter.demand().get(CUSTOMER, 0.0)
+            for host in self.host_by_id.values()
+        )
+
     def refused_share(self):
         """Return the share of the requests since the last restart that were refused."""
         request_count = self.request_count - self.request_count_before
--- a/features/quota_loans.feature
+++ b/features/quota_loans.feature
@@ -40,6 +40,11 @@
       | 195   | 12000  |
       | 380   | 12000  |
 
+  Scenario: Requests that several lenders refuse count several times as demand
+    Given 195 hosts share a quota of 72000 tokens a second
+    When a customer asks for 1.3 times its quota in requests of about 6000
+    Then each request counts once in the customer's demand of 1.3
+
   Scenario Outline: Some hosts are cut off from the others while a customer's demand jumps
     Given <hosts> hosts share a quota of 300000 tokens a second
     When a third of them is cut off and the demand rises from 0.5 to <multiple>
--- a/features/steps/quota_loans_steps.py
+++ b/features/steps/quota_loans_steps.py
@@ -119,3 +119,15 @@
 def check_absurd(context, code):
     assert context.error is not None and int(context.error.code) == code, context.error
     assert context.host.limiter.used() == context.used
+
+
+@behave.then("each request counts once in the customer's demand of {multiple:g}")
+def check_demand(context, multiple):
+    demands = []
+    for fleet in context.fleets:
+        for _ in range(_LOAD_SECONDS // 2):
+            fleet.play(multiple, 1)
+            demands.append(fleet.demand())
+    mean_demand = sum(demands) / len(demands)
+    expected = multiple * context.quota.rate
+    assert mean_demand <= 1.1 * expected, (mean_demand, expected)
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -109,7 +109,8 @@
     demand_by_customer : dict of str to float
         Units of the quotas requested per second at all hosts.
     share_by_customer : dict of str to float
-        Shares of the quotas that the host may use from now on.
+        Shares of the quotas that the host may use from now on; 0 for the other
+        customers of which it knows lenders.
     age_seconds : float
         How long the demand of all hosts has been known: by the holder, or by a host
         that has reported recently, whichever is longer.
@@ -304,7 +305,10 @@
         members, terms_by_customer = self._peers.members(), self._find_terms()
         with self._lock:
             grant = self._shares.grant(
-                _quota_report(report), members, now, terms_by_customer
+                _quota_report(report, terms_by_customer),
+                members,
+                now,
+                terms_by_customer,
             )
             host_count = max(len(members), self._shares.host_count)
             ages = [entry.settled_seconds for entry in self._recent_reports_locked(now)]
@@ -315,7 +319,11 @@
         return FleetView(
             host_count,
             demand,
-            grant.share_by_customer,
+            {
+                customer: share
+                for customer, share in grant.share_by_customer.items()
+                if share
+            },
             age,
             lenders if digest != report.lenders_digest else None,
             digest,
@@ -343,11 +351,15 @@
     return xxhash.xxh32_intdigest(text.encode()) or 1
 
 
-def _quota_report(report):
+def _quota_report(report, terms_by_customer):
+    shares = report.share_by_customer
+    if report.lenders_digest:
+        # A host that knows its lenders uses no share that it doesn't report.
+        shares = dict.fromkeys(terms_by_customer, 0.0) | shares
     return quota_shares.QuotaReport(
         host_id=report.host_id,
         incarnation=report.incarnation,
-        share_by_customer=report.share_by_customer,
+        share_by_customer=shares,
         used_by_customer=report.used_by_customer,
         demand_by_customer=report.demand_by_customer,
         size_by_customer=report.size_by_customer,
--- a/src/peridothitch/gateway/forwarding/quota_limiter.py
+++ b/src/peridothitch/gateway/forwarding/quota_limiter.py
@@ -317,7 +317,8 @@
 
     def _share(self, name):
         even = 1.0 / self._host_count()
-        share = self._share_by_name.get(name, even)
+        unknown = 0.0 if name in self._lenders_by_name else even
+        share = self._share_by_name.get(name, unknown)
         if self._granted_at is None:
             return share
         age = self._clock.monotonic() - self._granted_at
--- a/src/peridothitch/gateway/forwarding/quota_loans.py
+++ b/src/peridothitch/gateway/forwarding/quota_loans.py
@@ -74,12 +74,16 @@
         peers.register(_METHOD, self._answer)
 
     def ask(self, lender_ids, request):
-        """Ask hosts in turn; yields the id and the reply of each that answers."""
+        """Ask hosts in turn; yields the id and the reply of each that answers.
+
+        Only the first of them counts the request as demand.
+        """
         for lender_id in lender_ids:
             if self._is_paused(lender_id):
                 continue
             reply = self._call(lender_id, request)
             if reply is not None:
+                request = msgspec.structs.replace(request, adds_demand=False)
                 yield lender_id, reply
 
     def give_back(self, lender_id, customer, units):
