Keep counts of usage in the store until they are reported

Ruled out: late reports (each window was reported within its time) and the holder's changes (a successor has the deputy's counts).

Change: the holder writes each process's counts of the windows that it has not reported to one key, once a second while they change, on the condition that the key is as this holder left it. A successor adds them as the counts of processes that have departed; a report of the process itself replaces them. A successor that can't read the records tries again, which it did not before. A damaged record is counted, logged and overwritten. Cost: a write a second for the fleet. In the duties' tests the store's fault now hits the window's write only, as it did before this change.

--- a/features/steps/duties_steps.py
+++ b/features/steps/duties_steps.py
@@ -4,6 +4,7 @@
 import threading
 
 import behave
+import duty_fakes
 import hypothesis
 import quota_fleet
 import virtual_clock
@@ -11,38 +12,16 @@
 
 from peridothitch import errors
 from peridothitch.adapters import memory_store, metrics
-from peridothitch.coordination import lease, mirror
+from peridothitch.coordination import mirror
 from peridothitch.gateway.forwarding import peer_sync, usage_duty
-from peridothitch.ports import duties
 from peridothitch.ports import store as stores
 
+_WINDOW_PREFIX = "/peridothitch/usage-windows/"
 _SETTINGS = hypothesis.settings(max_examples=100, deadline=None, derandomize=True)
 
 
-class _Platform(duties.PlatformDuties):
-    """Records the reports; can lose a reply."""
-
-    def __init__(self):
-        self.reports = []
-        self.lose_next = False
-        self.highest = 0
-
-    def report_usage(self, report, fencing_number):
-        if fencing_number < self.highest:
-            return duties.DutyAnswer(False, superseded=True)
-        self.highest = fencing_number
-        self.reports.append(report)
-        if self.lose_next:
-            self.lose_next = False
-            raise errors.CloudError(errors.Code.CLOUD_UNCLEAR, "lost")
-        return duties.DutyAnswer(True)
-
-    def order_capacity(self, order, fencing_number):
-        raise NotImplementedError
-
-
 class _FaultyStore:
-    """Forwards calls; can refuse a write or lose its reply."""
+    """Forwards calls; can refuse a write of a window's counts or lose its reply."""
 
     def __init__(self, service):
         self._service = service
@@ -52,6 +31,8 @@
         return getattr(self._service, name)
 
     def transact(self, compares, writes):
+        if not any(write.key.startswith(_WINDOW_PREFIX) for write in writes):
+            return self._service.transact(compares, writes)
         fault, self.fault = self.fault, ""
         if fault == "refuse":
             raise errors.StoreUnavailableError("refused")
@@ -68,25 +49,15 @@
     def counts_by_process(self):
         return {"edge-1/a": self.counts}
 
+    def process_counts(self, oldest_window):
+        return ()
 
-class _Lease:
-    """A lease that is held until it is abandoned."""
-
-    def __init__(self, number):
-        self.number = number
-        self.abandoned = False
-
-    def permit(self):
-        if self.abandoned:
-            raise errors.LeaseError("abandoned")
-        return lease.Permit(self.number, datetime.timedelta(hours=1))
-
-    def abandon(self):
-        self.abandoned = True
+    def add_departed(self, counts):
+        assert not counts
 
 
 def _make_duty(context, number):
-    held = _Lease(number)
+    held = duty_fakes.Lease(number)
     duty = usage_duty.UsageDuty(
         context.platform,
         context.store,
@@ -104,7 +75,7 @@
 def make_due(context):
     context.clock = virtual_clock.VirtualClock()
     context.store = _FaultyStore(memory_store.MemoryStore(context.clock))
-    context.platform = _Platform()
+    context.platform = duty_fakes.Platform()
     context.reports = _Reports()
     context.duty, context.held = _make_duty(context, 7)
     _run(context.duty, context.held, context.clock)
--- /dev/null
+++ b/features/usage_progress.feature
@@ -0,0 +1,29 @@
+Feature: Usage that is not reported yet outlives all entry hosts
+
+  Scenario Outline: All entry hosts are killed before a window was reported
+    Given 3 entry hosts that counted requests in a window
+    And the window ended <ended> seconds ago
+    When all of them are killed and the duties are taken over by a new process
+    Then the window is reported once with all its requests
+
+    Examples:
+      | ended |
+      | 0.5   |
+      | 1.5   |
+
+  Scenario: Counts of a process that lives on are added twice
+    Given 3 entry hosts that counted requests in a window
+    And the window ended 1.5 seconds ago
+    When the holder is killed and another host takes over the duties
+    Then the window is reported once with all its requests
+
+  Scenario: A former holder overwrites the counts of its successor
+    Given 3 entry hosts that counted requests in a window
+    And the window ended 1.5 seconds ago
+    When the holder is paused, another takes over, and the first one saves again
+    Then the saved counts are those of the successor
+
+  Scenario: Saved counts are damaged
+    Given 3 entry hosts that counted requests in a window
+    When the saved counts are damaged and another host takes over the duties
+    Then it counts a damaged record and goes on
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -337,6 +337,33 @@
                 busy_by_service[service] = busy_by_service.get(service, 0.0) + busy
         return busy_by_service
 
+    def process_counts(self, oldest_window):
+        """Return the `ProcessCounts` of all processes from a window on."""
+        with self._lock:
+            counts = [entry.counts for entry in self._received_by_process.values()]
+        recent = (
+            msgspec.structs.replace(
+                known,
+                counts_by_window={
+                    window: count_by_customer
+                    for window, count_by_customer in known.counts_by_window.items()
+                    if window >= oldest_window and count_by_customer
+                },
+            )
+            for known in counts
+        )
+        found = [known for known in recent if known.counts_by_window]
+        return tuple(
+            sorted(found, key=lambda known: (known.host_id, known.incarnation))
+        )
+
+    def add_departed(self, counts):
+        """Add the `ProcessCounts` of processes that may no longer report."""
+        now = self._clock.monotonic()
+        with self._lock:
+            for known in counts:
+                self._merge_departed(known, now)
+
     def counts_by_process(self):
         """Return each process's counts by window and customer."""
         with self._lock:
--- a/src/peridothitch/gateway/forwarding/usage_duty.py
+++ b/src/peridothitch/gateway/forwarding/usage_duty.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from peridothitch import errors
+from peridothitch.gateway.forwarding import usage_progress
 from peridothitch.policy import usage_windows
 from peridothitch.ports import duties, store
 
@@ -71,18 +72,31 @@
         self._sent_windows = set()
         self._counts_by_window = {}
         self._next_attempt = self._gathered_at = clock.monotonic()
+        self._progress = usage_progress.UsageProgress(
+            record_store, reports, clock, metrics
+        )
 
     def step(self, permit):
         """Send the reports that are due."""
         if permit.fencing_number != self._fencing_number:
+            self._counts_by_window = self._read_counts()
+            self._progress.restore()
             self._fencing_number = permit.fencing_number
             self._sent_windows.clear()
-            self._counts_by_window = self._read_counts()
             self._gathered_at = self._clock.monotonic() + _GATHER_TIME
         if self._clock.monotonic() < self._next_attempt:
             return
         for window in self._due_windows():
             self._send(window)
+        self._progress.save(self._oldest_window())
+
+    def _oldest_window(self):
+        """Return the oldest window that may still be reported."""
+        latest_end = self._shared_clock.now() - self._bounds.usage_delay
+        oldest = usage_windows.window_of(latest_end, self._bounds.usage_window) - 1
+        while oldest in self._counts_by_window:
+            oldest += 1
+        return oldest
 
     def _due_windows(self):
         window = self._bounds.usage_window
