--- a/src/peridothitch/policy/quota_owners.py
+++ b/src/peridothitch/policy/quota_owners.py
@@ -28,7 +28,7 @@
 _MIN_OWNERS = 2
 """One owner may be lost."""
 
-_MIN_RESERVED_REQUESTS = 2
+_MIN_RESERVED_REQUESTS = 4
 """Requests that an equal share has to cover for other hosts to keep a part of it."""
 
 _RESERVED_PART = 0.5
