--- a/src/peridothitch/policy/quota_shares.py
+++ b/src/peridothitch/policy/quota_shares.py
@@ -172,7 +172,9 @@
 
     def age(self, now):
         """Return the time since the first grant of this host."""
-        return now - self._first_granted_at if self._first_granted_at else _ZERO
+        if self._first_granted_at is None:
+            return _ZERO
+        return now - self._first_granted_at
 
     @property
     def host_count(self):
