Hold restarts of all hosts to the stated share of refusals

The permitted use is checked first, so that the known failure doesn't hide a broken quota. The design page gave an estimate as a measurement.

--- a/features/quota_loans.feature
+++ b/features/quota_loans.feature
@@ -71,14 +71,14 @@
   Scenario Outline: All hosts restart
     Given <hosts> hosts share a quota of <rate> tokens a second
     When all hosts restart at <before> times the quota and the demand is then <after>
-    Then at most <refused> in 1000 requests is refused
-    And the permitted use is not exceeded
+    Then the permitted use is not exceeded
+    And at most <refused> in 1000 requests is refused
 
     Examples:
       | hosts | rate   | before | after | refused |
-      | 7     | 100000 | 0.5    | 0.5   | 20      |
-      | 195   | 100000 | 0.5    | 0.5   | 50      |
-      | 195   | 12000  | 0.5    | 0.5   | 150     |
+      | 7     | 100000 | 0.5    | 0.5   | 1       |
+      | 195   | 100000 | 0.5    | 0.5   | 1       |
+      | 195   | 12000  | 0.5    | 0.5   | 1       |
       | 195   | 100000 | 0.5    | 8     | 1000    |
       | 195   | 12000  | 0.5    | 8     | 1000    |
       | 195   | 100000 | 5      | 5     | 1000    |
