Tell how long the store has not answered a mirror

A relay that waits for an answer that never comes looks like one without news: store lost was written 22 s later, without the time that had passed, and no metric told it before. Now the line has unanswered_ms and the revision, and a gauge has the time of the last answer by prefix. That separates the first hypothesis of the postmortem from the other two; no logic is changed.

--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -97,6 +97,7 @@
         self._should_watch = _always
         self._is_watching = False
         self._lost_at = None
+        self._answered_at = clock.monotonic()
         self._outage_began_at = None
         self._last_outage = None
         self._changes = collections.deque(maxlen=_RETAINED_CHANGES)
@@ -336,29 +337,42 @@
             callback()
 
     def _record_contact(self):
+        now = self._answered_at = self._clock.monotonic()
+        self._metrics.set(
+            "mirror_answer_time", self._clock.now().timestamp(), prefix=self.prefix
+        )
         if self._lost_at is None:
             return
-        now = self._clock.monotonic()
         lost_at = self._lost_at
         self.record_outage(now, self.current_outage(now))
         self._lost_at = self._outage_began_at = None
         _log.info(
             "store regained",
             prefix=self.prefix,
-            after_ms=int((now - lost_at).total_seconds() * 1000),
+            after_ms=_to_milliseconds(now - lost_at),
         )
 
     def _record_failure(self, error):
         self._metrics.count("mirror_failures", prefix=self.prefix)
         if self._lost_at is None:
-            self._lost_at = self._outage_began_at = self._clock.monotonic()
-            _log.info("store lost", prefix=self.prefix, reason=error.detail)
+            now = self._lost_at = self._outage_began_at = self._clock.monotonic()
+            _log.info(
+                "store lost",
+                prefix=self.prefix,
+                revision=self.revision,
+                unanswered_ms=_to_milliseconds(now - self._answered_at),
+                reason=error.detail,
+            )
 
 
 def _revisions(item_by_key):
     return {key: item.mod_revision for key, item in item_by_key.items()}
 
 
+def _to_milliseconds(duration):
+    return int(duration / datetime.timedelta(milliseconds=1))
+
+
 def _retry_delay(failures):
     if not failures:
         return datetime.timedelta(0)
