--- /dev/null
+++ b/features/store_silence.feature
@@ -0,0 +1,27 @@
+Feature: A store that answers nothing for a short time
+
+  Scenario Outline: A change after a short silence is not in effect in time
+    Given <hosts> hosts in <data_centres> data centres that watch the store
+    When the store changes and is silent for 1.5 seconds from 0.1 seconds later
+    And the store changes once more
+    And <seconds> seconds pass for the fleet
+    Then all hosts of the fleet have the rules
+
+    Examples:
+      | hosts | data_centres | seconds |
+      | 7     | 3            | 2.5     |
+      | 195   | 6            | 4       |
+      | 380   | 4            | 4       |
+
+  Scenario Outline: Relays to which the store is silent are not replaced
+    Given <hosts> hosts in <data_centres> data centres that watch the store
+    When the store is silent to its followers for 30 seconds
+    And the store changes once more
+    And 10 seconds pass for the fleet
+    Then all hosts of the fleet have the rules
+
+    Examples:
+      | hosts | data_centres |
+      | 7     | 3            |
+      | 195   | 6            |
+      | 380   | 4            |
--- a/features/sync_fleet.py
+++ b/features/sync_fleet.py
@@ -162,7 +162,7 @@
     transact = grant_lease = keep_alive = revoke_lease = watch = get
 
 
-class _Peers(peers.Peers):
+class Peers(peers.Peers):
     def __init__(self, fleet, host_id):
         self.host_id = host_id
         self._fleet = fleet
@@ -188,7 +188,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Host:
+class Host:
     mirror: mirror.Mirror
     sync: peer_sync.PeerSync
 
@@ -234,13 +234,13 @@
         host_mirror.read()
         sync = peer_sync.PeerSync(
             (host_mirror,),
-            _Peers(self, host_id),
+            Peers(self, host_id),
             peer_sync.SharedClock(self.scheduler),
             self.scheduler,
             counters,
             random.Random(self._random.getrandbits(32)),
         )
-        return _Host(host_mirror, sync)
+        return Host(host_mirror, sync)
 
     def _follow(self, host_id, host):
         while True:
--- a/src/peridothitch/platform/store.py
+++ b/src/peridothitch/platform/store.py
@@ -15,12 +15,12 @@
 from peridothitch.platform import client
 from peridothitch.ports import store
 
-__all__ = ["PlatformStore"]
+__all__ = ["WATCH_MARGIN", "PlatformStore"]
 
 _CALL_TIMEOUT = datetime.timedelta(seconds=1.5)
 """A slow store takes some hundred milliseconds; a lost answer never arrives."""
 
-_WATCH_MARGIN = datetime.timedelta(seconds=2)
+WATCH_MARGIN = datetime.timedelta(seconds=2)
 """Time beyond a watch's wait after which its answer counts as lost."""
 
 _MAX_WATCH_WAIT = datetime.timedelta(seconds=30)
@@ -137,7 +137,7 @@
         """
         wait = min(wait, _MAX_WATCH_WAIT)
         query = {"prefix": prefix, "after": after, "wait_ms": wait // _MILLISECOND}
-        answer = self._read("/v1/kv-watch", query, wait + _WATCH_MARGIN)
+        answer = self._read("/v1/kv-watch", query, wait + WATCH_MARGIN)
         if answer.status == _HISTORY_GONE:
             raise errors.StoreHistoryGoneError(f"no events after revision {after}")
         _expect(answer, _OK)
