Count an unanswered watch of the store as lost after 0.75 s, not 22 s

Cause: a watch call waited 20 s, and 2 s more, for its answer. A call that arrives, or has news, while the store is silent is never answered. After a change all relays watch again at the same moment, so that one short silence takes them all; nobody else asks the store, and each relay tells the others that it is in touch.

Change: a watch call waits 0.6 to 1.4 s, drawn anew each time, and its answer is overdue 0.75 s later; the host then reads the prefix. Relays that watch since the same change no longer miss the next one for as long. The bound is the time of a change, 2.5 s on the smallest sites.

--- a/features/silence_fleet.py
+++ b/features/silence_fleet.py
@@ -115,7 +115,11 @@
     def _make_host(self, host_id):
         counters = metrics.Metrics()
         host_mirror = mirror.Mirror(
-            sync_fleet.PREFIX, _HostStore(self, host_id), self.scheduler, counters
+            sync_fleet.PREFIX,
+            _HostStore(self, host_id),
+            self.scheduler,
+            counters,
+            random.Random(self._random.getrandbits(32)),
         )
         host_mirror.merge(self._state())
         sync = peer_sync.PeerSync(
--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -19,8 +19,13 @@
 
 __all__ = ["Mirror", "MirrorItem", "MirrorState"]
 
-_POLL_TIMEOUT = datetime.timedelta(seconds=20)
-"""Timeout of a watch call: each call is billed, and a lost connection fails sooner."""
+_MIN_POLL_TIMEOUT = datetime.timedelta(seconds=0.6)
+_MAX_POLL_TIMEOUT = datetime.timedelta(seconds=1.4)
+"""Timeouts of watch calls are drawn between these.
+
+An answer may be lost without an error, so a host misses changes for the rest of a
+timeout. Hosts that watch since the same change don't all miss them for as long.
+"""
 
 _IDLE_INTERVAL = datetime.timedelta(milliseconds=500)
 """Interval between checks of whether to watch the store."""
@@ -77,6 +82,7 @@
     service : peridothitch.ports.store.Store
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
+    random_source : random.Random or None
 
     Attributes
     ----------
@@ -84,12 +90,13 @@
         Store revision up to which all changes are included; 0 before the first read.
     """
 
-    def __init__(self, prefix, service, clock, metrics):
+    def __init__(self, prefix, service, clock, metrics, random_source=None):
         self.prefix = prefix
         self.revision = 0
         self._store = service
         self._clock = clock
         self._metrics = metrics
+        self._random = random_source or random.Random()
         self._lock = threading.RLock()
         self._item_by_key = {}
         self._digest = 0
@@ -258,7 +265,7 @@
             except errors.StoreError as error:
                 self._record_failure(error)
                 failures += 1
-            self._clock.wait(stop, _retry_delay(failures))
+            self._clock.wait(stop, self._retry_delay(failures))
 
     def try_read(self):
         """Read all keys once; returns whether the store answered."""
@@ -277,7 +284,9 @@
         watch = self._store.watch(self.prefix, self.revision + 1)
         self._is_watching = True
         while not stop.is_set():
-            events = watch.poll(_POLL_TIMEOUT)
+            events = watch.poll(
+                self._draw_between(_MIN_POLL_TIMEOUT, _MAX_POLL_TIMEOUT)
+            )
             self._metrics.count("mirror_polls", prefix=self.prefix)
             self._record_contact()
             self._apply(events, watch.revision)
@@ -364,6 +373,15 @@
                 reason=error.detail,
             )
 
+    def _retry_delay(self, failures):
+        if not failures:
+            return _ZERO
+        delay = min(_MAX_RETRY_DELAY, _FIRST_RETRY_DELAY * 2 ** min(failures - 1, 8))
+        return self._draw_between(delay * 0.7, delay * 1.3)
+
+    def _draw_between(self, least, most):
+        return least + (most - least) * self._random.random()
+
 
 def _revisions(item_by_key):
     return {key: item.mod_revision for key, item in item_by_key.items()}
@@ -371,10 +389,3 @@
 
 def _to_milliseconds(duration):
     return int(duration / datetime.timedelta(milliseconds=1))
-
-
-def _retry_delay(failures):
-    if not failures:
-        return datetime.timedelta(0)
-    delay = min(_MAX_RETRY_DELAY, _FIRST_RETRY_DELAY * 2 ** min(failures - 1, 8))
-    return delay * random.uniform(0.7, 1.3)
--- a/src/peridothitch/platform/store.py
+++ b/src/peridothitch/platform/store.py
@@ -20,7 +20,7 @@
 _CALL_TIMEOUT = datetime.timedelta(seconds=1.5)
 """A slow store takes some hundred milliseconds; a lost answer never arrives."""
 
-WATCH_MARGIN = datetime.timedelta(seconds=2)
+WATCH_MARGIN = datetime.timedelta(seconds=0.75)
 """Time beyond a watch's wait after which its answer counts as lost."""
 
 _MAX_WATCH_WAIT = datetime.timedelta(seconds=30)
