Forget a mirror's failed calls once the store has answered a watch

The delay before the next call to the store grew with each failure and never fell again: after eight silences a host waited 0.7 to 1.3 s more before it read what the last one had hidden, so a change missed its 2.5 s.

--- a/features/steps/store_silence_steps.py
+++ b/features/steps/store_silence_steps.py
@@ -52,3 +52,12 @@
 def check_rules(context):
     outdated = [fleet.outdated_host_ids() for fleet in context.fleets]
     assert not any(outdated), [len(host_ids) for host_ids in outdated]
+
+
+@behave.when("the store is silent for {seconds:g} seconds {count:d} times in a row")
+def fall_silent_often(context, seconds, count):
+    for fleet in context.fleets:
+        for _ in range(count):
+            fleet.change(b"before a silence")
+            fleet.fall_silent(0.1, seconds)
+            fleet.run(seconds + _SETTLING_SECONDS)
--- a/features/store_silence.feature
+++ b/features/store_silence.feature
@@ -25,3 +25,11 @@
       | 7     | 3            |
       | 195   | 6            |
       | 380   | 4            |
+
+  Scenario: Silences that came before delay the next change
+    Given 1 hosts in 1 data centres that watch the store
+    When the store is silent for 0.5 seconds 8 times in a row
+    And the store changes and is silent for 0.5 seconds from 0.1 seconds later
+    And the store changes once more
+    And 2.5 seconds pass for the fleet
+    Then all hosts of the fleet have the rules
--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -103,6 +103,7 @@
         self._callbacks = []
         self._should_watch = _always
         self._is_watching = False
+        self._failures = 0
         self._lost_at = None
         self._answered_at = clock.monotonic()
         self._outage_began_at = None
@@ -247,7 +248,6 @@
 
     def run(self, stop):
         """Watch the store until the event `stop` is set."""
-        failures = 0
         while not stop.is_set():
             if self.is_loaded and not self._should_watch():
                 self._is_watching = False
@@ -261,11 +261,11 @@
                     prefix=self.prefix,
                 )
                 self._metrics.count("mirror_history_gone", prefix=self.prefix)
-                failures = 0 if self.try_read() else failures + 1
+                self._failures = 0 if self.try_read() else self._failures + 1
             except errors.StoreError as error:
                 self._record_failure(error)
-                failures += 1
-            self._clock.wait(stop, self._retry_delay(failures))
+                self._failures += 1
+            self._clock.wait(stop, self._retry_delay())
 
     def try_read(self):
         """Read all keys once; returns whether the store answered."""
@@ -288,6 +288,7 @@
                 self._draw_between(_MIN_POLL_TIMEOUT, _MAX_POLL_TIMEOUT)
             )
             self._metrics.count("mirror_polls", prefix=self.prefix)
+            self._failures = 0
             self._record_contact()
             self._apply(events, watch.revision)
             if events:
@@ -373,10 +374,11 @@
                 reason=error.detail,
             )
 
-    def _retry_delay(self, failures):
-        if not failures:
+    def _retry_delay(self):
+        if not self._failures:
             return _ZERO
-        delay = min(_MAX_RETRY_DELAY, _FIRST_RETRY_DELAY * 2 ** min(failures - 1, 8))
+        doublings = min(self._failures - 1, 8)
+        delay = min(_MAX_RETRY_DELAY, _FIRST_RETRY_DELAY * 2**doublings)
         return self._draw_between(delay * 0.7, delay * 1.3)
 
     def _draw_between(self, least, most):
