--- a/features/lapse_fleet.py
+++ b/features/lapse_fleet.py
@@ -155,7 +155,7 @@
         if not self.store.is_up:
             host.mirror.try_read()
             return
-        if host.mirror.is_store_reachable and host.mirror.revision == (
+        if host.mirror.contact.is_reachable and host.mirror.revision == (
             self.store.revision
         ):
             return
--- a/features/relay_fleet.py
+++ b/features/relay_fleet.py
@@ -15,6 +15,16 @@
 PREFIX = "op/"
 
 
+class Contact:
+    """Contact with a store that has no outages for all hosts."""
+
+    is_reachable = True
+    last_outage = None
+
+    def record_peer_contact(self, at):
+        pass
+
+
 class Mirror:
     """A mirror whose host polls the store once a step."""
 
@@ -23,11 +33,7 @@
         self.version = (1, 1)
         self.is_loaded = True
         self.is_watching = False
-        self.is_store_reachable = True
-        self.last_outage = None
-
-    def record_peer_contact(self, at):
-        pass
+        self.contact = Contact()
 
     def first_change_after(self, revision):
         return None
@@ -44,7 +50,7 @@
     def poll(self, revision, is_served):
         """Read from a store that serves or rejects this host."""
         self.is_watching = True
-        self.is_store_reachable = is_served
+        self.contact.is_reachable = is_served
         if is_served:
             self.version = (revision, revision)
 
--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from peridothitch import errors
+from peridothitch.coordination import store_contact
 from peridothitch.ports import store
 
 __all__ = ["Mirror", "MirrorItem", "MirrorState"]
@@ -88,11 +89,13 @@
     ----------
     revision : int
         Store revision up to which all changes are included; 0 before the first read.
+    contact : peridothitch.coordination.store_contact.StoreContact
     """
 
     def __init__(self, prefix, service, clock, metrics, random_source=None):
         self.prefix = prefix
         self.revision = 0
+        self.contact = store_contact.StoreContact(prefix, clock, metrics)
         self._store = service
         self._clock = clock
         self._metrics = metrics
@@ -104,10 +107,6 @@
         self._should_watch = _always
         self._is_watching = False
         self._failures = 0
-        self._lost_at = None
-        self._answered_at = clock.monotonic()
-        self._outage_began_at = None
-        self._last_outage = None
         self._changes = collections.deque(maxlen=_RETAINED_CHANGES)
 
     @property
@@ -120,49 +119,6 @@
         """Whether this host watches the store itself now."""
         return self._is_watching
 
-    @property
-    def is_store_reachable(self):
-        """Whether the store answered the last call."""
-        return self._lost_at is None
-
-    @property
-    def last_outage(self):
-        """End of the store's last outage as monotonic time and its length, or None."""
-        return self._last_outage
-
-    def current_outage(self, now):
-        """Return how long no host is known to have reached the store, zero if one has.
-
-        Parameters
-        ----------
-        now : datetime.timedelta
-            Monotonic time.
-        """
-        began_at = self._outage_began_at
-        return max(_ZERO, now - began_at) if began_at is not None else _ZERO
-
-    def record_peer_contact(self, at):
-        """Record that another host reached the store at a monotonic time.
-
-        While a store rejects this host alone, no records lapse.
-        """
-        with self._lock:
-            if self._outage_began_at is not None:
-                self._outage_began_at = max(self._outage_began_at, at)
-
-    def record_outage(self, ended_at, length):
-        """Record an outage of the store that another host has observed.
-
-        Parameters
-        ----------
-        ended_at : datetime.timedelta
-            Monotonic time.
-        length : datetime.timedelta
-        """
-        with self._lock:
-            if self._last_outage is None or ended_at > self._last_outage[0]:
-                self._last_outage = ended_at, length
-
     @property
     def changed_at(self):
         """Monotonic time of the last change, as far as known; None before the first."""
@@ -244,7 +200,7 @@
         """
         found = self._store.range(self.prefix)
         self._replace(found.item_by_key, found.revision, "store")
-        self._record_contact()
+        self.contact.record_answer()
 
     def run(self, stop):
         """Watch the store until the event `stop` is set."""
@@ -263,7 +219,7 @@
                 self._metrics.count("mirror_history_gone", prefix=self.prefix)
                 self._failures = 0 if self.try_read() else self._failures + 1
             except errors.StoreError as error:
-                self._record_failure(error)
+                self.contact.record_failure(error, self.revision)
                 self._failures += 1
             self._clock.wait(stop, self._retry_delay())
 
@@ -272,12 +228,12 @@
         try:
             self.read()
         except errors.StoreError as error:
-            self._record_failure(error)
+            self.contact.record_failure(error, self.revision)
             return False
         return True
 
     def _watch_store(self, stop):
-        if not self.is_loaded or not self.is_store_reachable:
+        if not self.is_loaded or not self.contact.is_reachable:
             # One call reads all missed changes; a watch from an old revision might
             # replay a long history.
             self.read()
@@ -289,7 +245,7 @@
             )
             self._metrics.count("mirror_polls", prefix=self.prefix)
             self._failures = 0
-            self._record_contact()
+            self.contact.record_answer()
             self._apply(events, watch.revision)
             if events:
                 self._clock.wait(stop, _BATCH_DELAY)
@@ -346,34 +302,6 @@
         for callback in self._callbacks:
             callback()
 
-    def _record_contact(self):
-        now = self._answered_at = self._clock.monotonic()
-        self._metrics.set(
-            "mirror_answer_time", self._clock.now().timestamp(), prefix=self.prefix
-        )
-        if self._lost_at is None:
-            return
-        lost_at = self._lost_at
-        self.record_outage(now, self.current_outage(now))
-        self._lost_at = self._outage_began_at = None
-        _log.info(
-            "store regained",
-            prefix=self.prefix,
-            after_ms=_to_milliseconds(now - lost_at),
-        )
-
-    def _record_failure(self, error):
-        self._metrics.count("mirror_failures", prefix=self.prefix)
-        if self._lost_at is None:
-            now = self._lost_at = self._outage_began_at = self._clock.monotonic()
-            _log.info(
-                "store lost",
-                prefix=self.prefix,
-                revision=self.revision,
-                unanswered_ms=_to_milliseconds(now - self._answered_at),
-                reason=error.detail,
-            )
-
     def _retry_delay(self):
         if not self._failures:
             return _ZERO
@@ -387,7 +315,3 @@
 
 def _revisions(item_by_key):
     return {key: item.mod_revision for key, item in item_by_key.items()}
-
-
-def _to_milliseconds(duration):
-    return int(duration / datetime.timedelta(milliseconds=1))
--- a/src/peridothitch/gateway/forwarding/catalogue.py
+++ b/src/peridothitch/gateway/forwarding/catalogue.py
@@ -209,11 +209,11 @@
 
     def _had_outage(self, now):
         """Return whether the store is, or was until recently, out of reach for all."""
-        if self._hosts.current_outage(now) >= _MIN_OUTAGE:
+        if self._hosts.contact.current_outage(now) >= _MIN_OUTAGE:
             return True
-        if self._hosts.last_outage is None:
+        if self._hosts.contact.last_outage is None:
             return False
-        ended_at, length = self._hosts.last_outage
+        ended_at, length = self._hosts.contact.last_outage
         return length >= _MIN_OUTAGE and now - ended_at <= _LAPSE_GRACE + _RETURN_DELAY
 
     def _collect_hosts(self, now):
--- a/src/peridothitch/gateway/forwarding/peer_sync.py
+++ b/src/peridothitch/gateway/forwarding/peer_sync.py
@@ -175,7 +175,7 @@
     def _last_contact(self):
         """Return which host had contact with the store last, and when."""
         first_mirror = next(iter(self._mirror_by_prefix.values()))
-        if first_mirror.is_store_reachable and first_mirror.is_watching:
+        if first_mirror.contact.is_reachable and first_mirror.is_watching:
             return self._peers.host_id, self._clock.monotonic()
         return self._source, self._source_at
 
@@ -185,7 +185,7 @@
         if sync_reply.source not in ("", self._peers.host_id) and at > self._source_at:
             self._source, self._source_at = sync_reply.source, at
             for own_mirror in self._mirror_by_prefix.values():
-                own_mirror.record_peer_contact(at)
+                own_mirror.contact.record_peer_contact(at)
 
     def _record_outage(self, sync_reply, began):
         if not sync_reply.outage_seconds:
@@ -193,14 +193,14 @@
         ended_at = began - datetime.timedelta(seconds=sync_reply.outage_age)
         length = datetime.timedelta(seconds=sync_reply.outage_seconds)
         for own_mirror in self._mirror_by_prefix.values():
-            own_mirror.record_outage(ended_at, length)
+            own_mirror.contact.record_outage(ended_at, length)
 
     def _last_outage(self):
         """Return the end and the length of the store's last outage, None if none."""
         outages = [
-            own_mirror.last_outage
+            own_mirror.contact.last_outage
             for own_mirror in self._mirror_by_prefix.values()
-            if own_mirror.last_outage is not None
+            if own_mirror.contact.last_outage is not None
         ]
         return max(outages, default=None)
 
