Tell the store's era, and keys that are dropped as older than those held

A store that comes back from an older copy looked like one without news: what hosts read was dropped without a line, and nothing told that the store had gone back. Now store era names each rise, older keys dropped the revisions read and held (once for each held one), and peridothitch_mirror_contents_dropped_total counts. No decision depends on it yet.

--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -107,6 +107,7 @@
         self._should_watch = _always
         self._is_watching = False
         self._failures = 0
+        self._dropped_at = 0
         self._changes = collections.deque(maxlen=_RETAINED_CHANGES)
 
     @property
@@ -276,6 +277,7 @@
     def _replace(self, item_by_key, revision, source, changed_at=None):
         with self._lock:
             if revision <= self.revision:
+                self._count_dropped(revision, source)
                 return False
             before = _revisions(self._item_by_key)
             self.revision = revision
@@ -287,6 +289,21 @@
                 )
             return True
 
+    def _count_dropped(self, revision, source):
+        """Tell of content that is older than what was read before."""
+        if revision == self.revision:
+            return
+        self._metrics.count("mirror_contents_dropped", prefix=self.prefix)
+        if self._dropped_at != self.revision:
+            self._dropped_at = self.revision
+            _log.info(
+                "older keys dropped",
+                prefix=self.prefix,
+                source=source,
+                revision=revision,
+                held=self.revision,
+            )
+
     def _notify_subscribers(self, source, changed_at):
         self._changes.append((self.revision, changed_at))
         text = repr(sorted(_revisions(self._item_by_key).items()))
--- a/src/peridothitch/platform/client.py
+++ b/src/peridothitch/platform/client.py
@@ -51,10 +51,12 @@
     status : int
     fields : dict
         The decoded JSON body, empty if there is none or it is not an object.
+    headers : email.message.Message or dict of str to str
     """
 
-    def __init__(self, status, body):
+    def __init__(self, status, body, headers=None):
         self.status = status
+        self.headers = {} if headers is None else headers
         try:
             fields = msgspec.json.decode(body) if body else {}
         except msgspec.DecodeError as error:
@@ -131,7 +133,7 @@
             connection.close()
         else:
             self._put_idle(connection)
-        return Answer(response.status, content)
+        return Answer(response.status, content, response.headers)
 
     def close(self):
         """Close all connections; calls in progress fail with an error."""
--- a/src/peridothitch/platform/store.py
+++ b/src/peridothitch/platform/store.py
@@ -12,7 +12,7 @@
 import logbook
 
 from peridothitch import errors
-from peridothitch.platform import client
+from peridothitch.platform import client, eras
 from peridothitch.ports import store
 
 __all__ = ["WATCH_MARGIN", "PlatformStore"]
@@ -44,6 +44,7 @@
 
     def __init__(self, address, clock):
         self._client = client.Client(address, clock)
+        self._eras = eras.EraTracker()
 
     def close(self):
         """Close the idle connections."""
@@ -146,15 +147,19 @@
 
     def _read(self, path, query, timeout=_CALL_TIMEOUT):
         try:
-            return self._client.call("GET", path, timeout, query=query)
+            answer = self._client.call("GET", path, timeout, query=query)
         except client.CallError as error:
             raise client.to_store_error(error, writes=False) from None
+        self._eras.record(answer.headers.get(eras.HEADER))
+        return answer
 
     def _write(self, method, path, body=None):
         try:
-            return self._client.call(method, path, _CALL_TIMEOUT, body=body)
+            answer = self._client.call(method, path, _CALL_TIMEOUT, body=body)
         except client.CallError as error:
             raise client.to_store_error(error, writes=True) from None
+        self._eras.record(answer.headers.get(eras.HEADER))
+        return answer
 
     def _to_expectation(self, compare):
         """Return the key and the revision of its last change, None if it differs."""
