Reproduce a store that comes back from an older copy of itself

The stand-in store copies itself, comes back from a copy with its leases, gives revisions and leases out again, answers 410 to a watch from a revision that it doesn't have, and tells Store-Era in all its answers.

--- a/src/peridothitch/standins/metadata_store.py
+++ b/src/peridothitch/standins/metadata_store.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import copy
 import dataclasses
 import datetime
 import json
@@ -14,7 +15,7 @@
 
 from peridothitch.adapters import problems
 
-__all__ = ["MetadataStore", "MetadataStoreService", "StoreFaults"]
+__all__ = ["MetadataStore", "MetadataStoreService", "StoreCopy", "StoreFaults"]
 
 _PAGE_ITEM_COUNT = 500
 _MAX_WAIT_SECONDS = 30.0
@@ -38,6 +39,8 @@
         Delay after which writes whose answer is dropped are applied.
     page_item_count : int
         Maximum number of items in one page.
+    era_text : str or None
+        Sent in place of the store's era; empty for no such header.
     """
 
     refuse_status: int = 0
@@ -45,18 +48,43 @@
     delay_seconds: float = 0.0
     late_write_seconds: float = 0.0
     page_item_count: int = _PAGE_ITEM_COUNT
+    era_text: str | None = None
 
 
 class _ConditionFailedError(Exception):
     pass
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """What a copy of the store contains.
+
+    Attributes
+    ----------
+    item_by_key : dict
+    ttl_by_lease : dict of int to int
+        Milliseconds of the leases that had not ended.
+    last_lease, revision : int
+    """
+
+    item_by_key: dict
+    ttl_by_lease: dict
+    last_lease: int
+    revision: int
+
+
 class MetadataStore:
     """The store's state.
 
     Parameters
     ----------
     clock : peridothitch.ports.clock.Clock
+
+    Attributes
+    ----------
+    revision : int
+    era : int
+        Number of times that the store has come back from a copy, and 1.
     """
 
     def __init__(self, clock):
@@ -70,6 +98,35 @@
         self._last_lease = 100
         self._is_closed = False
         self.revision = 1
+        self.era = 1
+
+    def copy(self):
+        """Return a `StoreCopy` of the present state."""
+        with self._changed:
+            self._expire_leases()
+            return StoreCopy(
+                item_by_key=copy.deepcopy(self._item_by_key),
+                ttl_by_lease={
+                    lease: self._ttl_by_lease[lease]
+                    for lease in self._deadline_by_lease
+                },
+                last_lease=self._last_lease,
+                revision=self.revision,
+            )
+
+    def restore(self, store_copy):
+        """Come back from a `StoreCopy`; its leases run anew, history is lost."""
+        with self._changed:
+            self._item_by_key = copy.deepcopy(store_copy.item_by_key)
+            self._ttl_by_lease = dict(store_copy.ttl_by_lease)
+            self._deadline_by_lease.clear()
+            for lease in self._ttl_by_lease:
+                self._extend_lease(lease)
+            self._last_lease = store_copy.last_lease
+            self.revision = self._compacted_revision = store_copy.revision
+            self._history.clear()
+            self.era += 1
+            self._changed.notify_all()
 
     def put(self, key, value):
         """Write one key as the operator or an upstream does; returns the revision."""
@@ -120,13 +177,13 @@
     def wait_for_events(self, prefix, after, wait_seconds):
         """Return the events after a revision, and the current revision.
 
-        Returns None if the history of these events was dropped.
+        Returns None if the history of these events was dropped, or is yet to come.
         """
         deadline = time.monotonic() + min(wait_seconds, _MAX_WAIT_SECONDS)
         with self._changed:
             while True:
                 self._expire_leases()
-                if after < self._compacted_revision:
+                if not self._compacted_revision <= after <= self.revision:
                     return None
                 events = [
                     event
@@ -247,7 +304,7 @@
         if self.faults.delay_seconds:
             time.sleep(self.faults.delay_seconds)
         if self.faults.refuse_status:
-            return _answer(start_response, self.faults.refuse_status, {})
+            return self._answer(start_response, self.faults.refuse_status, {})
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
         body = json.loads(environ["wsgi.input"].read() or b"{}")
@@ -258,7 +315,20 @@
             start_response(problems.status_line(200), [("Content-Length", "1000")])
             return [b""]
         status, fields = self._apply(method, path, query, body)
-        return _answer(start_response, status, fields)
+        return self._answer(start_response, status, fields)
+
+    def _answer(self, start_response, status, fields):
+        body = json.dumps(fields).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        era_text = self.faults.era_text
+        era_text = str(self.store.era) if era_text is None else era_text
+        if era_text:
+            headers.append(("Store-Era", era_text))
+        start_response(problems.status_line(status), headers)
+        return [body]
 
     def _apply_late(self, method, path, query, body):
         if not self.faults.late_write_seconds:
@@ -326,13 +396,3 @@
 
 def _encode(value):
     return base64.b64encode(value).decode()
-
-
-def _answer(start_response, status, fields):
-    body = json.dumps(fields).encode()
-    headers = [
-        ("Content-Type", "application/json"),
-        ("Content-Length", str(len(body))),
-    ]
-    start_response(problems.status_line(status), headers)
-    return [body]
--- a/src/peridothitch/standins/platform_duties.py
+++ b/src/peridothitch/standins/platform_duties.py
@@ -25,6 +25,8 @@
         Number of upcoming calls that are applied but not answered.
     reused_fencing_numbers : list of int
         Fencing numbers that two holders used.
+    holder_by_number : dict of int to str
+        First holder that used each fencing number.
     """
 
     def __init__(self):
@@ -36,7 +38,7 @@
         self.sold_out = set()
         self.answers_to_drop = 0
         self.reused_fencing_numbers = []
-        self._holder_by_number = {}
+        self.holder_by_number = {}
 
     def __call__(self, environ, start_response):
         """Answer one call."""
@@ -44,7 +46,7 @@
         number = int(environ["HTTP_PERIDOTHITCH_FENCING_TOKEN"])
         holder = environ["HTTP_PERIDOTHITCH_LEASE_HOLDER"]
         with self._lock:
-            if self._holder_by_number.setdefault(number, holder) != holder:
+            if self.holder_by_number.setdefault(number, holder) != holder:
                 self.reused_fencing_numbers.append(number)
             status, text = self._apply(environ["PATH_INFO"], body, number)
             lost = self.answers_to_drop > 0
