Order what comes from the store by its era, then by its revision

Cause: revisions stood for order everywhere, and a restored store gives them out again. A mirror dropped all that it read until the store had passed the revision it held, and asked again at once; a key of a lease that was gone stayed in it.

Change: the platform's client puts the era before each revision. What is read in a later era is newer; a condition, a watch or a lease of an earlier era fails, since the number may be another's; fencing numbers grow. A read that finds nothing newer delays the next call.

--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -2,7 +2,8 @@
 
 A mirror watches the store itself and adopts the content of other hosts' mirrors when it
 is newer. Its revision only grows, so a change that was once applied never reverts,
-whether updates arrive from the store or from a host.
+whether updates arrive from the store or from a host. When the store comes back from an
+older copy of itself, `mirror_eras` decides what remains.
 """
 
 import collections
@@ -12,10 +13,9 @@
 
 import logbook
 import msgspec
-import xxhash
 
 from peridothitch import errors
-from peridothitch.coordination import store_contact
+from peridothitch.coordination import mirror_eras, store_contact
 from peridothitch.ports import store
 
 __all__ = ["Mirror", "MirrorItem", "MirrorState"]
@@ -84,15 +84,21 @@
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
     random_source : random.Random or None
+    era_rule : peridothitch.coordination.mirror_eras.EraRule or None
+        What remains when the store comes back from a copy; None for what it has.
 
     Attributes
     ----------
     revision : int
         Store revision up to which all changes are included; 0 before the first read.
     contact : peridothitch.coordination.store_contact.StoreContact
+    restored_at : datetime.timedelta or None
+        Monotonic time at which the store last came back from a copy, as far as known.
     """
 
-    def __init__(self, prefix, service, clock, metrics, random_source=None):
+    def __init__(
+        self, prefix, service, clock, metrics, random_source=None, era_rule=None
+    ):
         self.prefix = prefix
         self.revision = 0
         self.contact = store_contact.StoreContact(prefix, clock, metrics)
@@ -100,6 +106,9 @@
         self._clock = clock
         self._metrics = metrics
         self._random = random_source or random.Random()
+        self._era_rule = era_rule or mirror_eras.StoreRule()
+        self._losses = mirror_eras.Losses()
+        self.restored_at = None
         self._lock = threading.RLock()
         self._item_by_key = {}
         self._digest = 0
@@ -144,6 +153,21 @@
         with self._lock:
             return self.revision, self._digest
 
+    @property
+    def has_retained_items(self):
+        """Whether keys are held that the store has lost or has older ones of."""
+        with self._lock:
+            era = store.era_of(self.revision)
+            return bool(mirror_eras.retained_items(self._item_by_key, era))
+
+    def lost_items(self):
+        """Return the keys held before the store came back from a copy and lost them.
+
+        Keys that were written again since are left out.
+        """
+        with self._lock:
+            return self._losses.items(self._item_by_key)
+
     def items(self):
         """Return the keys as a dict of key to `peridothitch.ports.store.KeyValue`."""
         with self._lock:
@@ -218,7 +242,9 @@
                     prefix=self.prefix,
                 )
                 self._metrics.count("mirror_history_gone", prefix=self.prefix)
-                self._failures = 0 if self.try_read() else self._failures + 1
+                revision = self.revision
+                self.try_read()
+                self._failures = 0 if self.revision > revision else self._failures + 1
             except errors.StoreError as error:
                 self.contact.record_failure(error, self.revision)
                 self._failures += 1
@@ -269,25 +295,58 @@
             return False
         if event.item.mod_revision <= self.revision:
             return False
+        era = store.era_of(event.item.mod_revision)
         if event.deleted:
-            return self._item_by_key.pop(key, None) is not None
-        self._item_by_key[key] = event.item
-        return True
+            if old is not None:
+                self._era_rule.record_removal(self._item_by_key.pop(key), era)
+            return old is not None
+        item = event.item
+        if old is None and not self._era_rule.admits(item):
+            return False
+        if old is not None and store.era_of(old.mod_revision) < era:
+            item = self._era_rule.choose(old, item, is_written=True)
+        self._item_by_key[key] = item
+        return item is not old
 
-    def _replace(self, item_by_key, revision, source, changed_at=None):
+    def _replace(self, found_by_key, revision, source, changed_at=None):
         with self._lock:
-            if revision <= self.revision:
+            era = store.era_of(revision)
+            is_newer = revision > self.revision
+            if is_newer:
+                at = self._clock.monotonic() if changed_at is None else changed_at
+                if self.is_loaded and era > store.era_of(self.revision):
+                    self._record_restore(revision, at)
+            else:
                 self._count_dropped(revision, source)
-                return False
-            before = _revisions(self._item_by_key)
+                if era != store.era_of(self.revision):
+                    return False
+                # Another host may hold what the store has lost.
+                retained = mirror_eras.retained_items(found_by_key, era)
+                if not retained:
+                    return False
+                found_by_key, revision = self._item_by_key | retained, self.revision
+                at = self._clock.monotonic()
+            before = self._item_by_key
+            self._item_by_key = mirror_eras.join(
+                before, found_by_key, era, self._era_rule
+            )
             self.revision = revision
-            self._item_by_key = item_by_key
-            if _revisions(item_by_key) != before or not self._digest:
-                now = self._clock.monotonic()
-                self._notify_subscribers(
-                    source, now if changed_at is None else changed_at
-                )
-            return True
+            has_changes = _revisions(self._item_by_key) != _revisions(before)
+            if has_changes or not self._digest:
+                self._notify_subscribers(source, at)
+            return is_newer or has_changes
+
+    def _record_restore(self, revision, at):
+        """Record that the store has come back from an older copy of itself."""
+        self.restored_at = at
+        self._losses.record(self._item_by_key, revision)
+        self._metrics.count("mirror_eras", prefix=self.prefix)
+        _log.info(
+            "store came back from a copy",
+            prefix=self.prefix,
+            revision=store.to_text(revision),
+            held=store.to_text(self.revision),
+        )
 
     def _count_dropped(self, revision, source):
         """Tell of content that is older than what was read before."""
@@ -300,20 +359,19 @@
                 "older keys dropped",
                 prefix=self.prefix,
                 source=source,
-                revision=revision,
-                held=self.revision,
+                revision=store.to_text(revision),
+                held=store.to_text(self.revision),
             )
 
     def _notify_subscribers(self, source, changed_at):
         self._changes.append((self.revision, changed_at))
-        text = repr(sorted(_revisions(self._item_by_key).items()))
-        self._digest = xxhash.xxh32_intdigest(text.encode()) or 1
+        self._digest = mirror_eras.digest(self._item_by_key)
         self._metrics.count("mirror_changes", prefix=self.prefix, source=source)
         _log.info(
             "keys changed",
             prefix=self.prefix,
             source=source,
-            revision=self.revision,
+            revision=store.to_text(self.revision),
             keys=len(self._item_by_key),
         )
         for callback in self._callbacks:
--- a/src/peridothitch/coordination/store_contact.py
+++ b/src/peridothitch/coordination/store_contact.py
@@ -5,6 +5,8 @@
 
 import logbook
 
+from peridothitch.ports import store
+
 __all__ = ["StoreContact"]
 
 _ZERO = datetime.timedelta(0)
@@ -107,7 +109,7 @@
             _log.info(
                 "store lost",
                 prefix=self._prefix,
-                revision=revision,
+                revision=store.to_text(revision),
                 unanswered_ms=_to_milliseconds(now - self._answered_at),
                 reason=error.detail,
             )
--- a/src/peridothitch/gateway/forwarding/catalogue.py
+++ b/src/peridothitch/gateway/forwarding/catalogue.py
@@ -8,6 +8,7 @@
 
 from peridothitch import errors
 from peridothitch.policy import route_index
+from peridothitch.ports import store
 
 __all__ = ["Catalogue"]
 
@@ -105,7 +106,8 @@
         """Apply the current records of operators."""
         items = self._operators.items()
         item = items.get(self._record_codec.table_key)
-        if item is not None and item.mod_revision > self._table_revision:
+        # The mirror's items only become newer, whatever era their revisions are of.
+        if item is not None and item.mod_revision != self._table_revision:
             self._apply_table(item)
         self.move_by_service = self._decode_moves(items)
 
@@ -115,7 +117,9 @@
         except errors.DocumentError as error:
             self._metrics.count("rejected_tables")
             _log.error(
-                "rules rejected", revision=item.mod_revision, reason=error.detail
+                "rules rejected",
+                revision=store.to_text(item.mod_revision),
+                reason=error.detail,
             )
             return
         self._table_revision = item.mod_revision
@@ -124,7 +128,7 @@
         _log.info(
             "rules taken",
             version=table.version,
-            revision=item.mod_revision,
+            revision=store.to_text(item.mod_revision),
             routes=len(table.routes),
         )
         for callback in self._table_callbacks:
@@ -196,7 +200,7 @@
         is_mass = len(missing) >= _MASS_HOSTS and 3 * len(missing) >= len(
             self._decoded_by_key
         )
-        if self._had_outage(now):
+        if self._may_lack_records(now):
             until = now + _LAPSE_GRACE + _RETURN_DELAY
         elif is_mass:
             # A host that leaves may be used only for a time that starts at the change
@@ -207,8 +211,15 @@
         for key, host in missing.items():
             self._lapsed_by_key[key] = host, until
 
-    def _had_outage(self, now):
-        """Return whether the store is, or was until recently, out of reach for all."""
+    def _may_lack_records(self, now):
+        """Return whether records may be missing that their hosts write again soon.
+
+        The store is, or was until recently, out of reach for all, or came back from an
+        older copy of itself.
+        """
+        restored_at = self._hosts.restored_at
+        if restored_at is not None and now - restored_at <= _LAPSE_GRACE:
+            return True
         if self._hosts.contact.current_outage(now) >= _MIN_OUTAGE:
             return True
         if self._hosts.contact.last_outage is None:
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -8,7 +8,7 @@
 import logbook
 
 from peridothitch.adapters import metrics, raw_server, raw_transport, status_pages
-from peridothitch.coordination import lease, mirror
+from peridothitch.coordination import lease, mirror, mirror_eras
 from peridothitch.gateway import loops, peer_links, quarantine
 from peridothitch.gateway.forwarding import (
     attempt,
@@ -191,13 +191,15 @@
 
     def _make_mirrors(self, store):
         record_codec = self._platform.record_codec
+        write_order = record_codec.write_order
+        rule_by_prefix = {
+            record_codec.operator_prefix: mirror_eras.WriteOrderRule(write_order, True),
+            record_codec.host_prefix: mirror_eras.WriteOrderRule(write_order, False),
+            lease.PREFIX: mirror_eras.StoreRule(),
+        }
         return tuple(
-            mirror.Mirror(prefix, store, self._clock, self.metrics)
-            for prefix in (
-                record_codec.operator_prefix,
-                record_codec.host_prefix,
-                lease.PREFIX,
-            )
+            mirror.Mirror(prefix, store, self._clock, self.metrics, era_rule=rule)
+            for prefix, rule in rule_by_prefix.items()
         )
 
     def _attempt_dependencies(self):
--- a/src/peridothitch/gateway/forwarding/move_records.py
+++ b/src/peridothitch/gateway/forwarding/move_records.py
@@ -70,10 +70,7 @@
         if item is None:
             return None
         persisted = self._decode(item)
-        is_of_order = (
-            persisted is not None and persisted.order_revision == order.revision
-        )
-        return persisted if is_of_order else None
+        return persisted if _is_of_order(persisted, order) else None
 
     def _decode(self, item):
         # Every request of a service that has an order reads its record.
@@ -115,3 +112,10 @@
             store.Put(told_key, told),
         ]
         return self._store.transact(compares, writes).succeeded
+
+
+def _is_of_order(persisted, order):
+    # An order in the copy that a store comes back from keeps its number.
+    return persisted is not None and store.number_of(
+        persisted.order_revision
+    ) == store.number_of(order.revision)
--- a/src/peridothitch/gateway/forwarding/peer_sync.py
+++ b/src/peridothitch/gateway/forwarding/peer_sync.py
@@ -17,6 +17,7 @@
 from peridothitch.coordination import mirror, mirror_parts, relays
 from peridothitch.policy import true_time
 from peridothitch.ports import clock as clocks
+from peridothitch.ports import store
 
 __all__ = ["PeerSync", "SharedClock"]
 
@@ -280,7 +281,7 @@
                 "keys received",
                 peer=host_id,
                 prefix=received.prefix,
-                revision=received.revision,
+                revision=store.to_text(received.revision),
                 bytes=len(reply),
                 ms=_to_milliseconds(ended - began),
             )
--- a/src/peridothitch/gateway/forwarding/retrying_sender.py
+++ b/src/peridothitch/gateway/forwarding/retrying_sender.py
@@ -15,7 +15,7 @@
 from peridothitch import errors
 from peridothitch.gateway.forwarding import attempt as attempts
 from peridothitch.gateway.forwarding import interruption
-from peridothitch.ports import forwarding, raw
+from peridothitch.ports import forwarding, raw, store
 
 __all__ = ["RetryingSender", "means_not_run"]
 
@@ -215,7 +215,7 @@
             "sent",
             id=job.request_id,
             host_id=host.host_id,
-            hosts=deps.upstreams.revision,
+            hosts=store.to_text(deps.upstreams.revision),
             load_age_ms=_to_milliseconds(attempt.estimate.load_age),
             busy=attempt.estimate.busy,
             cached_tokens=int(attempt.estimate.cached_tokens),
--- a/src/peridothitch/platform/record_codec.py
+++ b/src/peridothitch/platform/record_codec.py
@@ -108,6 +108,16 @@
     spot_enabled: bool = False
 
 
+class _Versioned(msgspec.Struct, frozen=True):
+    version: int
+
+
+class _Sequenced(msgspec.Struct, frozen=True):
+    # Both grow: the start of the replica, then the reports since.
+    sequence: int
+    born: int = 0
+
+
 class _Rollout(msgspec.Struct, frozen=True):
     service: str
     # The version that requests are to move to.
@@ -180,6 +190,18 @@
             duration=record.duration_s * _SECOND,
         )
 
+    def write_order(self, key, value):
+        """Return what orders the writes of a record, None if it doesn't tell."""
+        try:
+            if key == self.table_key:
+                return (msgspec.json.decode(value, type=_Versioned).version,)
+            if key.startswith(_HOSTS):
+                record = msgspec.json.decode(value, type=_Sequenced)
+                return record.born, record.sequence
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return None
+        return None
+
     def encode_move_status(self, move, state):
         """Return the key and value of the record with a move's state."""
         fields = {"state": _NAME_BY_MOVE_STATE[state], "target": move.version}
--- a/src/peridothitch/platform/store.py
+++ b/src/peridothitch/platform/store.py
@@ -45,6 +45,8 @@
     def __init__(self, address, clock):
         self._client = client.Client(address, clock)
         self._eras = eras.EraTracker()
+        # Only the client that was granted a lease uses it.
+        self._era_by_lease = {}
 
     def close(self):
         """Close the idle connections."""
@@ -63,64 +65,95 @@
             query = {"prefix": prefix}
             if after is not None:
                 query["after"] = after
-            answer = self._read("/v1/kv-range", query)
+            answer, era = self._read("/v1/kv-range", query)
             _expect(answer, _OK)
-            items = [_to_item(entry) for entry in answer.fields["entries"]]
+            items = [_to_item(entry, era) for entry in answer.fields["entries"]]
             item_by_key.update((item.key, item) for item in items)
             if revision is None:
-                revision = answer.fields["at"]
+                revision = store.in_era(era, answer.fields["at"])
+            if era != store.era_of(revision):
+                raise errors.StoreUnavailableError(
+                    f"pages of eras {store.era_of(revision)} and {era}"
+                )
             if not answer.fields.get("has_more") or not items:
                 return store.Range(revision, item_by_key)
             after = items[-1].key
 
     def get(self, key):
         """Read one key."""
-        answer = self._read("/v1/kv-key", {"key": key})
+        answer, era = self._read("/v1/kv-key", {"key": key})
         if answer.status == _ABSENT:
             return None
         _expect(answer, _OK)
-        return _to_item(answer.fields)
+        return _to_item(answer.fields, era)
 
     def transact(self, compares, writes):
         """Apply `writes` at once if all `compares` hold."""
+        era = self._eras.current
+        puts = [put for put in writes if isinstance(put, store.Put)]
+        for put in puts:
+            if put.lease_id and self._era_by_lease.get(put.lease_id) != era:
+                raise errors.StoreUnavailableError(
+                    f"lease {put.lease_id} is not of era {era}"
+                )
         expected = []
         for compare in compares:
-            row = self._to_expectation(compare)
+            row = self._to_expectation(compare, era)
             if row is None:
                 return store.TransactionResult(False, 0)
             expected.append(row)
         body = {
             "expected_revision": expected,
-            "write": [_to_write(put) for put in writes if isinstance(put, store.Put)],
+            "write": [_to_write(put) for put in puts],
             "remove": [
                 delete.key for delete in writes if isinstance(delete, store.Delete)
             ],
         }
-        answer = self._write("POST", "/v1/kv-txn", body)
+        answer, answer_era = self._write("POST", "/v1/kv-txn", body)
         if answer.status == _CONDITION_FAILED:
             return store.TransactionResult(False, 0)
         if answer.status == _ABSENT:
             raise errors.StoreUnavailableError("the lease of a write has ended")
         _expect(answer, _OK)
-        return store.TransactionResult(True, answer.fields["revision"])
+        is_of_era = any(row["revision"] for row in expected) or any(
+            put.lease_id for put in puts
+        )
+        if answer_era != era and is_of_era:
+            # The numbers may have stood for another change or lease.
+            raise errors.StoreUnclearError(
+                f"a write for era {era} was applied in era {answer_era}"
+            )
+        revision = store.in_era(answer_era, answer.fields["revision"])
+        return store.TransactionResult(True, revision)
 
     def grant_lease(self, ttl):
         """Create a lease."""
-        answer = self._write("POST", "/v1/kv-lease", {"ttl_ms": ttl // _MILLISECOND})
+        body = {"ttl_ms": ttl // _MILLISECOND}
+        answer, era = self._write("POST", "/v1/kv-lease", body)
         _expect(answer, _OK)
-        return answer.fields["lease"]
+        lease_id = answer.fields["lease"]
+        self._era_by_lease[lease_id] = era
+        return lease_id
 
     def keep_alive(self, lease_id):
-        """Renew a lease; returns the remaining time."""
-        answer = self._write("POST", f"/v1/kv-keep/{lease_id}")
-        if answer.status == _ABSENT:
+        """Renew a lease; returns the remaining time.
+
+        A lease of an earlier era counts as ended: its number may be given out again.
+        """
+        era = self._era_by_lease.get(lease_id)
+        if era != self._eras.current:
+            return datetime.timedelta(0)
+        answer, answer_era = self._write("POST", f"/v1/kv-keep/{lease_id}")
+        if answer.status == _ABSENT or answer_era != era:
             return datetime.timedelta(0)
         _expect(answer, _OK)
         return answer.fields["ttl_ms"] * _MILLISECOND
 
     def revoke_lease(self, lease_id):
-        """End a lease."""
-        answer = self._write("DELETE", f"/v1/kv-lease-end/{lease_id}")
+        """End a lease; one of an earlier era is left to its end."""
+        if self._era_by_lease.pop(lease_id, None) != self._eras.current:
+            return
+        answer, _ = self._write("DELETE", f"/v1/kv-lease-end/{lease_id}")
         if answer.status != _ABSENT:
             _expect(answer, _OK)
 
@@ -136,39 +169,62 @@
         peridothitch.errors.StoreHistoryGoneError
             The events are no longer available; the keys have to be read again.
         """
+        era = store.era_of(after)
+        if era != self._eras.current:
+            raise errors.StoreHistoryGoneError(
+                f"revision {store.to_text(after)} is not of era {self._eras.current}"
+            )
         wait = min(wait, _MAX_WATCH_WAIT)
-        query = {"prefix": prefix, "after": after, "wait_ms": wait // _MILLISECOND}
-        answer = self._read("/v1/kv-watch", query, wait + WATCH_MARGIN)
-        if answer.status == _HISTORY_GONE:
-            raise errors.StoreHistoryGoneError(f"no events after revision {after}")
+        query = {
+            "prefix": prefix,
+            "after": store.number_of(after),
+            "wait_ms": wait // _MILLISECOND,
+        }
+        answer, answer_era = self._read("/v1/kv-watch", query, wait + WATCH_MARGIN)
+        if answer.status == _HISTORY_GONE or answer_era != era:
+            raise errors.StoreHistoryGoneError(
+                f"no events after revision {store.to_text(after)}, era {answer_era}"
+            )
         _expect(answer, _OK)
-        events = tuple(_to_event(entry) for entry in answer.fields["events"])
-        return events, answer.fields["at"]
+        events = tuple(_to_event(entry, era) for entry in answer.fields["events"])
+        return events, store.in_era(era, answer.fields["at"])
 
     def _read(self, path, query, timeout=_CALL_TIMEOUT):
+        """Return an answer and its era."""
         try:
             answer = self._client.call("GET", path, timeout, query=query)
         except client.CallError as error:
             raise client.to_store_error(error, writes=False) from None
-        self._eras.record(answer.headers.get(eras.HEADER))
-        return answer
+        era = self._eras.record(answer.headers.get(eras.HEADER))
+        if era < self._eras.current:
+            raise errors.StoreUnavailableError(self._describe_past(era))
+        return answer, era
 
     def _write(self, method, path, body=None):
+        """Return an answer and its era."""
         try:
             answer = self._client.call(method, path, _CALL_TIMEOUT, body=body)
         except client.CallError as error:
             raise client.to_store_error(error, writes=True) from None
-        self._eras.record(answer.headers.get(eras.HEADER))
-        return answer
+        era = self._eras.record(answer.headers.get(eras.HEADER))
+        if era < self._eras.current:
+            # The store may have lost the write since.
+            raise errors.StoreUnclearError(self._describe_past(era))
+        return answer, era
+
+    def _describe_past(self, era):
+        return f"answer of era {era}, the store is in era {self._eras.current}"
 
-    def _to_expectation(self, compare):
+    def _to_expectation(self, compare, era):
         """Return the key and the revision of its last change, None if it differs."""
+        if compare.number and store.era_of(compare.number) != era:
+            return None
         if compare.target is store.Target.MOD or compare.number == 0:
-            return {"key": compare.key, "revision": compare.number}
+            return {"key": compare.key, "revision": store.number_of(compare.number)}
         item = self.get(compare.key)
         if item is None or item.create_revision != compare.number:
             return None
-        return {"key": compare.key, "revision": item.mod_revision}
+        return {"key": compare.key, "revision": store.number_of(item.mod_revision)}
 
 
 class _LongPoll(store.Watch):
@@ -200,20 +256,20 @@
     raise errors.StoreUnavailableError(f"status {answer.status} {reason}".strip())
 
 
-def _to_item(entry):
+def _to_item(entry, era):
     return store.KeyValue(
         key=entry["key"],
         value=_decode(entry.get("value", "")),
         # "revision" is that of the last change, "created" that of the first one.
-        create_revision=entry.get("created", 0),
-        mod_revision=entry["revision"],
+        create_revision=store.in_era(era, entry.get("created", 0)),
+        mod_revision=store.in_era(era, entry["revision"]),
         version=0,
         lease_id=entry.get("lease", 0),
     )
 
 
-def _to_event(entry):
-    return store.Event(_to_item(entry), deleted=bool(entry.get("deleted")))
+def _to_event(entry, era):
+    return store.Event(_to_item(entry, era), deleted=bool(entry.get("deleted")))
 
 
 def _to_write(put):
--- a/src/peridothitch/ports/record_codec.py
+++ b/src/peridothitch/ports/record_codec.py
@@ -85,6 +85,21 @@
         peridothitch.errors.DocumentError
         """
 
+    @abc.abstractmethod
+    def write_order(self, key, value):
+        """Return what orders the writes of a record, whatever revisions they have.
+
+        Parameters
+        ----------
+        key : str
+        value : bytes
+
+        Returns
+        -------
+        tuple of int, or None
+            Higher for later writes of the same key; None if the record doesn't tell.
+        """
+
     @abc.abstractmethod
     def encode_move_status(self, move, state):
         """Return key and value of the record that reports the state of a move."""
--- a/src/peridothitch/ports/store.py
+++ b/src/peridothitch/ports/store.py
@@ -3,6 +3,11 @@
 The contract follows the etcd v3 data model: keys with revisions, transactions that
 compare before they write, leases that delete the attached keys when they end, and
 watches from a revision.
+
+A service that comes back from an older copy of itself begins a new era, in which it
+gives out revisions and leases again. Its client adds the era to revisions, so that
+every revision of an era is higher than all of the eras before, and lets no lease
+outlive its era. A service that never does so has the era 0.
 """
 
 import abc
@@ -21,8 +26,36 @@
     "Target",
     "TransactionResult",
     "Watch",
+    "era_of",
+    "in_era",
+    "number_of",
+    "to_text",
 ]
 
+_ERA_BITS = 40
+"""A counter of changes stays below this size for decades at 400 changes a second."""
+
+
+def in_era(era, number):
+    """Return the revision that a service gave a number in an era."""
+    return era << _ERA_BITS | number
+
+
+def era_of(revision):
+    """Return the era of a revision."""
+    return revision >> _ERA_BITS
+
+
+def number_of(revision):
+    """Return a revision as the service numbered it."""
+    return revision & (1 << _ERA_BITS) - 1
+
+
+def to_text(revision):
+    """Return a revision for logs, with its era before it unless that is 0."""
+    era, number = era_of(revision), number_of(revision)
+    return f"{era}:{number}" if era else str(number)
+
 
 @dataclasses.dataclass(frozen=True)
 class KeyValue:
--- a/src/peridothitch/standins/metadata_store.py
+++ b/src/peridothitch/standins/metadata_store.py
@@ -95,7 +95,8 @@
         self._compacted_revision = 0
         self._deadline_by_lease = {}
         self._ttl_by_lease = {}
-        self._last_lease = 100
+        # Leases are opaque numbers that may need more than 40 bits.
+        self._last_lease = 1 << 50
         self._is_closed = False
         self.revision = 1
         self.era = 1
