--- a/features/quota_fleet.py
+++ b/features/quota_fleet.py
@@ -8,7 +8,7 @@
 
 from peridothitch import errors
 from peridothitch.adapters import metrics
-from peridothitch.gateway.forwarding import fleet_record, fleet_reports, quota_limiter
+from peridothitch.gateway.forwarding import fleet_messages, fleet_record, quota_limiter
 from peridothitch.policy import quota_shares
 from peridothitch.ports import entry_settings, forwarding, peers
 
@@ -225,7 +225,7 @@
             host.limiter.terms(),
         )
         host.limiter.apply_view(
-            fleet_reports.FleetView(
+            fleet_messages.FleetView(
                 host_count=len(self.peer_by_id),
                 demand_by_customer=self._ledger.demand(),
                 share_by_customer=grant.share_by_customer,
--- a/features/steps/fleet_record_steps.py
+++ b/features/steps/fleet_record_steps.py
@@ -8,7 +8,7 @@
 
 from peridothitch.adapters import memory_store, metrics
 from peridothitch.coordination import lease, mirror
-from peridothitch.gateway.forwarding import fleet_record, fleet_reports
+from peridothitch.gateway.forwarding import fleet_messages, fleet_record
 from peridothitch.ports import store
 
 _SERVICE = "model"
@@ -35,7 +35,7 @@
     "{busy:d} busy hosts"
 )
 def write_as_holder(context, age, busy):
-    view = fleet_reports.FleetView(_HOST_COUNT, {}, {}, float(age))
+    view = fleet_messages.FleetView(_HOST_COUNT, {}, {}, float(age))
     duty = fleet_record.FleetRecordDuty(
         context.store,
         context.leases,
--- a/features/steps/fleet_reports_steps.py
+++ b/features/steps/fleet_reports_steps.py
@@ -7,7 +7,7 @@
 
 from peridothitch import errors
 from peridothitch.adapters import metrics
-from peridothitch.gateway.forwarding import fleet_reports
+from peridothitch.gateway.forwarding import fleet_messages, fleet_reports
 from peridothitch.ports import peers
 
 
@@ -47,7 +47,7 @@
         context.reports_by_id[host_id] = fleet_reports.FleetReports(
             _Peers(host_id, context.peers_by_id),
             lambda: _find_holder(context),
-            lambda host_id=host_id, number=number: fleet_reports.HostReport(
+            lambda host_id=host_id, number=number: fleet_messages.HostReport(
                 host_id, "p", {100: {"lanark": 10**number}}, {}, {}, {}, {}
             ),
             dict,
--- a/features/steps/quota_book_steps.py
+++ b/features/steps/quota_book_steps.py
@@ -9,7 +9,7 @@
 from peridothitch import errors
 from peridothitch.adapters import metrics
 from peridothitch.coordination import single_host
-from peridothitch.gateway.forwarding import fleet_reports, quota_limiter
+from peridothitch.gateway.forwarding import fleet_messages, quota_limiter
 from peridothitch.policy import token_quota
 from peridothitch.ports import forwarding, peers
 
@@ -38,7 +38,7 @@
     demand = {quota_fleet.CUSTOMER: 0.1 * quota_fleet.QUOTA.rate}
     share = {quota_fleet.CUSTOMER: 1 / _HOST_COUNT}
     context.limiter.apply_view(
-        fleet_reports.FleetView(_HOST_COUNT, demand, share, 60.0)
+        fleet_messages.FleetView(_HOST_COUNT, demand, share, 60.0)
     )
 
 
--- a/features/steps/usage_progress_steps.py
+++ b/features/steps/usage_progress_steps.py
@@ -11,6 +11,7 @@
 from peridothitch.adapters import memory_store, metrics
 from peridothitch.coordination import single_host
 from peridothitch.gateway.forwarding import (
+    fleet_messages,
     fleet_reports,
     peer_sync,
     usage_duty,
@@ -33,7 +34,7 @@
         self.reports = fleet_reports.FleetReports(
             single_host.SingleHostPeers(peer),
             lambda: name,
-            lambda: fleet_reports.HostReport(name, "p", {}, {}, {}, {}, {}),
+            lambda: fleet_messages.HostReport(name, "p", {}, {}, {}, {}, {}),
             dict,
             context.clock,
             self.metrics,
@@ -64,7 +65,7 @@
 
 def _process_counts(context):
     return [
-        fleet_reports.ProcessCounts(f"edge-{n}", "p", {context.window: _COUNTS})
+        fleet_messages.ProcessCounts(f"edge-{n}", "p", {context.window: _COUNTS})
         for n in range(_HOST_COUNT)
     ]
 
@@ -111,14 +112,14 @@
 def pause_holder(context):
     successor = _Process(context, "edge-2", 9)
     newer = {context.window + 1: {"lanark": 1}}
-    successor.receive([fleet_reports.ProcessCounts("edge-2", "q", newer)])
+    successor.receive([fleet_messages.ProcessCounts("edge-2", "q", newer)])
     successor.run(context.clock, 2)
     former = usage_progress.UsageProgress(
         context.store, context.holder.reports, context.clock, context.holder.metrics
     )
     former.restore()
     context.clock.advance(_STEP * 8)
-    successor.receive([fleet_reports.ProcessCounts("edge-1", "q", newer)])
+    successor.receive([fleet_messages.ProcessCounts("edge-1", "q", newer)])
     successor.run(context.clock, 2)
     context.saved = context.store.get(_KEY).value
     former.save(context.window)
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -16,6 +16,7 @@
     catalogue,
     duty_factory,
     duty_runner,
+    fleet_messages,
     fleet_record,
     fleet_reports,
     handler,
@@ -385,7 +386,7 @@
         return self._duty_runner.find_holder()
 
     def _make_report(self):
-        return fleet_reports.HostReport(
+        return fleet_messages.HostReport(
             host_id=self._settings.host_id,
             incarnation=self._incarnation,
             counts_by_window=self._usage.counts(),
--- /dev/null
+++ b/src/peridothitch/gateway/forwarding/fleet_messages.py
@@ -0,0 +1,84 @@
+"""Messages between entry hosts and the holder of the duties; see `fleet_reports`."""
+
+import msgspec
+
+__all__ = ["FleetView", "HostReport", "ProcessCounts"]
+
+
+class ProcessCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Counts of one process, forwarded by another host once it no longer reports."""
+
+    host_id: str
+    incarnation: str
+    counts_by_window: dict[int, dict[str, int]]
+
+
+class HostReport(msgspec.Struct, frozen=True, array_like=True):
+    """Report of one entry host.
+
+    Attributes
+    ----------
+    host_id, incarnation : str
+        The host, and its process, whose counts start at 0.
+    counts_by_window : dict of int to dict of str to int
+        Requests started, by window and customer, for the last windows.
+    demand_by_customer : dict of str to float
+        Units of the quotas requested per second.
+    share_by_customer : dict of str to float
+        Shares of the quotas that this host may use.
+    used_by_customer : dict of str to float
+        Shares of the quotas that it used in the last window.
+    busy_by_service : dict of str to float
+        Upstream hosts kept busy by this host's requests.
+    settled_seconds : float
+        How long the demand of all hosts has been known, according to the last view.
+    departed : tuple of ProcessCounts
+        Counts of processes that have stopped reporting to this host.
+    is_final : bool
+        Whether the process is stopping; other hosts then forward its counts.
+    size_by_customer : dict of str to float
+        Mean units of the quotas that a request requires.
+    lenders_digest : int
+        Digest of the lenders that this host knows, 0 if it knows none.
+    """
+
+    host_id: str
+    incarnation: str
+    counts_by_window: dict[int, dict[str, int]]
+    demand_by_customer: dict[str, float]
+    share_by_customer: dict[str, float]
+    used_by_customer: dict[str, float]
+    busy_by_service: dict[str, float]
+    settled_seconds: float = 0.0
+    departed: tuple[ProcessCounts, ...] = ()
+    is_final: bool = False
+    size_by_customer: dict[str, float] = {}
+    lenders_digest: int = 0
+
+
+class FleetView(msgspec.Struct, frozen=True, array_like=True):
+    """Reply of the holder of the duties to a host's report.
+
+    Attributes
+    ----------
+    host_count : int
+    demand_by_customer : dict of str to float
+        Units of the quotas requested per second at all hosts.
+    share_by_customer : dict of str to float
+        Shares of the quotas that the host may use from now on; 0 for the other
+        customers of which it knows lenders.
+    age_seconds : float
+        How long the demand of all hosts has been known: by the holder, or by a host
+        that has reported recently, whichever is longer.
+    lenders_by_customer : dict of str to tuple of str, or None
+        Hosts to ask for what does not fit into the own share; None if the host that
+        reports knows them.
+    lenders_digest : int
+    """
+
+    host_count: int
+    demand_by_customer: dict[str, float]
+    share_by_customer: dict[str, float]
+    age_seconds: float
+    lenders_by_customer: dict[str, tuple[str, ...]] | None = None
+    lenders_digest: int = 0
--- a/src/peridothitch/gateway/forwarding/quota_limiter.py
+++ b/src/peridothitch/gateway/forwarding/quota_limiter.py
@@ -293,7 +293,7 @@
         return self._lenders_digest
 
     def apply_view(self, view):
-        """Apply a `peridothitch.gateway.forwarding.fleet_reports.FleetView`."""
+        """Apply a `peridothitch.gateway.forwarding.fleet_messages.FleetView`."""
         with self._lock:
             self._share_by_name = dict(view.share_by_customer)
             self._granted_at = self._clock.monotonic()
--- a/src/peridothitch/gateway/forwarding/usage_progress.py
+++ b/src/peridothitch/gateway/forwarding/usage_progress.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from peridothitch import errors
-from peridothitch.gateway.forwarding import fleet_reports
+from peridothitch.gateway.forwarding import fleet_messages
 from peridothitch.ports import store
 
 __all__ = ["UsageProgress"]
@@ -57,7 +57,7 @@
             return
         try:
             counts = msgspec.msgpack.decode(
-                item.value, type=tuple[fleet_reports.ProcessCounts, ...]
+                item.value, type=tuple[fleet_messages.ProcessCounts, ...]
             )
         except msgspec.MsgspecError as error:
             self._metrics.count("malformed_usage_progress")
