Report a window with the same counts after the store has lost them

A holder writes a window's counts before it reports them, and whoever reports reads them there.

Now each host keeps the final counts that it wrote as the holder and tells them in its reports to the holder and its deputy; a holder that finds no counts in the store takes those, and writes them again.

features/usage_progress.feature: both new examples fail without the look-up (120 and 82 or 122 of a customer) and pass with it.

--- a/features/steps/duties_steps.py
+++ b/features/steps/duties_steps.py
@@ -13,7 +13,7 @@
 from peridothitch import errors
 from peridothitch.adapters import memory_store, metrics
 from peridothitch.coordination import mirror
-from peridothitch.gateway.forwarding import peer_sync, usage_duty
+from peridothitch.gateway.forwarding import final_counts, peer_sync, usage_duty
 from peridothitch.ports import store as stores
 
 _WINDOW_PREFIX = "/peridothitch/usage-windows/"
@@ -63,6 +63,7 @@
         context.store,
         held,
         context.reports,
+        final_counts.FinalCounts(),
         peer_sync.SharedClock(context.clock),
         quota_fleet.BOUNDS,
         context.clock,
--- a/features/steps/fleet_reports_steps.py
+++ b/features/steps/fleet_reports_steps.py
@@ -7,7 +7,7 @@
 
 from peridothitch import errors
 from peridothitch.adapters import metrics
-from peridothitch.gateway.forwarding import fleet_messages, fleet_reports
+from peridothitch.gateway.forwarding import final_counts, fleet_messages, fleet_reports
 from peridothitch.ports import peers
 
 
@@ -53,6 +53,7 @@
             dict,
             context.clock,
             metrics.Metrics(),
+            final_counts.FinalCounts(),
         )
     _send_all(context)
 
--- a/features/steps/usage_progress_steps.py
+++ b/features/steps/usage_progress_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 import duty_fakes
+import msgspec
 import quota_fleet
 import virtual_clock
 
@@ -11,6 +12,7 @@
 from peridothitch.adapters import memory_store, metrics
 from peridothitch.coordination import single_host
 from peridothitch.gateway.forwarding import (
+    final_counts,
     fleet_messages,
     fleet_reports,
     peer_sync,
@@ -31,13 +33,16 @@
     def __init__(self, context, name, fencing_number):
         self.metrics = metrics.Metrics()
         peer = peers.Peer(host_id=name, address="", data_centre="lothian-a")
+        self._peers = single_host.SingleHostPeers(peer)
+        self._final_counts = final_counts.FinalCounts()
         self.reports = fleet_reports.FleetReports(
-            single_host.SingleHostPeers(peer),
+            self._peers,
             lambda: name,
-            lambda: fleet_messages.HostReport(name, "p", {}, {}, {}, {}, {}),
+            self.make_report,
             dict,
             context.clock,
             self.metrics,
+            self._final_counts,
         )
         self.lease = duty_fakes.Lease(fencing_number)
         self.duty = usage_duty.UsageDuty(
@@ -45,12 +50,34 @@
             context.store,
             self.lease,
             self.reports,
+            self._final_counts,
             peer_sync.SharedClock(context.clock),
             quota_fleet.BOUNDS,
             context.clock,
             self.metrics,
         )
 
+    def make_report(self):
+        return fleet_messages.HostReport(
+            self._peers.host_id,
+            "p",
+            {},
+            {},
+            {},
+            {},
+            {},
+            final_counts_by_window=self._final_counts.own(),
+        )
+
+    def receive_report(self, report):
+        """Receive another host's report as a call."""
+        payload = msgspec.msgpack.encode(report)
+        self._peers.call(self._peers.host_id, "forwarding.report", payload, _STEP)
+
+    def take_over(self, fencing_number):
+        """Acquire the lease again."""
+        self.lease.number = fencing_number
+
     def receive(self, counts):
         self.reports.add_departed(counts)
 
@@ -142,3 +169,41 @@
 def check_damaged(context):
     assert context.successor.metrics.value("malformed_usage_progress") == 1
     check_report(context)
+
+
+@behave.when(
+    "it is reported, the store loses its counts, and more requests become known"
+)
+def report_and_lose(context):
+    context.holder.run(context.clock, 1)
+    assert [r.window for r in context.platform.reports][-1] == context.window
+    key = f"/peridothitch/usage-windows/{context.window}"
+    assert context.store.get(key) is not None
+    context.store.transact([], [store.Delete(key), store.Delete(_KEY)])
+    context.late_counts = [
+        fleet_messages.ProcessCounts("edge-1", "q", {context.window: {"lanark": 2}})
+    ]
+
+
+@behave.when("the same process takes over the duties again")
+def take_over_again(context):
+    context.holder.receive(context.late_counts)
+    context.holder.take_over(9)
+    context.holder.run(context.clock, 4)
+
+
+@behave.when("another host takes over the duties and hears of the first one's counts")
+def take_over_elsewhere(context):
+    successor = _Process(context, "edge-2", 9)
+    successor.receive(_process_counts(context) + context.late_counts)
+    successor.run(context.clock, 0.5)
+    successor.receive_report(context.holder.make_report())
+    successor.run(context.clock, 4)
+
+
+@behave.then("every report of the window has the same counts")
+def check_same(context):
+    reports = [r for r in context.platform.reports if r.window == context.window]
+    counts = [report.count_by_customer for report in reports]
+    assert len(reports) >= 1 and all(found == counts[0] for found in counts), counts
+    assert context.store.get(f"/peridothitch/usage-windows/{context.window}")
--- a/features/usage_progress.feature
+++ b/features/usage_progress.feature
@@ -27,3 +27,15 @@
     Given 3 entry hosts that counted requests in a window
     When the saved counts are damaged and another host takes over the duties
     Then it counts a damaged record and goes on
+
+  Scenario Outline: A window is reported with other counts after the store lost the first
+    Given 3 entry hosts that counted requests in a window
+    And the window ended 2.5 seconds ago
+    When it is reported, the store loses its counts, and more requests become known
+    And <successor>
+    Then every report of the window has the same counts
+
+    Examples:
+      | successor                                                              |
+      | the same process takes over the duties again                           |
+      | another host takes over the duties and hears of the first one's counts |
--- a/src/peridothitch/gateway/forwarding/duty_factory.py
+++ b/src/peridothitch/gateway/forwarding/duty_factory.py
@@ -39,6 +39,7 @@
     fenced_lease: object
     leases: object
     reports: object
+    final_counts: object
     catalogue: object
     move_records: object
     version_moves: object
@@ -71,6 +72,7 @@
                 deps.store,
                 deps.fenced_lease,
                 deps.reports,
+                deps.final_counts,
                 deps.shared_clock,
                 settings.bounds,
                 deps.clock,
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -8,7 +8,7 @@
 import logbook
 
 from peridothitch.adapters import metrics, raw_server, raw_transport, status_pages
-from peridothitch.coordination import lease, mirror, mirror_eras
+from peridothitch.coordination import lease
 from peridothitch.gateway import loops, peer_links, quarantine
 from peridothitch.gateway.forwarding import (
     attempt,
@@ -16,6 +16,7 @@
     catalogue,
     duty_factory,
     duty_runner,
+    final_counts,
     fleet_messages,
     fleet_record,
     fleet_reports,
@@ -26,6 +27,7 @@
     peer_sync,
     quota_limiter,
     retry_budgets,
+    store_mirrors,
     upstream_limits,
     upstream_pool,
     usage_counter,
@@ -92,7 +94,7 @@
             self.metrics,
         )
         peers = self._fleet.peers
-        self._mirrors = self._make_mirrors(store)
+        self._mirrors = store_mirrors.make_mirrors(platform, clock, self.metrics)
         operators, hosts, leases = self._mirrors
         self.catalogue = catalogue.Catalogue(
             platform.record_codec, operators, hosts, clock, self.metrics
@@ -124,6 +126,7 @@
             settings.host_id,
             clock,
         )
+        self._final_counts = final_counts.FinalCounts()
         self._reports = self._make_reports(peers)
         self._reports.subscribe(self._quotas.apply_view)
         self._leases = leases
@@ -188,19 +191,7 @@
             self._quotas.terms,
             self._clock,
             self.metrics,
-        )
-
-    def _make_mirrors(self, store):
-        record_codec = self._platform.record_codec
-        write_order = record_codec.write_order
-        rule_by_prefix = {
-            record_codec.operator_prefix: mirror_eras.WriteOrderRule(write_order, True),
-            record_codec.host_prefix: mirror_eras.WriteOrderRule(write_order, False),
-            lease.PREFIX: mirror_eras.StoreRule(),
-        }
-        return tuple(
-            mirror.Mirror(prefix, store, self._clock, self.metrics, era_rule=rule)
-            for prefix, rule in rule_by_prefix.items()
+            self._final_counts,
         )
 
     def _attempt_dependencies(self):
@@ -242,6 +233,7 @@
                 fenced_lease=self._lease,
                 leases=self._leases,
                 reports=self._reports,
+                final_counts=self._final_counts,
                 catalogue=self.catalogue,
                 move_records=self._move_records,
                 version_moves=self._moves,
@@ -396,4 +388,5 @@
             busy_by_service=self._busy.busy_by_service(),
             size_by_customer=self._quotas.sizes(),
             lenders_digest=self._quotas.lenders_digest,
+            final_counts_by_window=self._final_counts.own(),
         )
--- a/src/peridothitch/gateway/forwarding/fleet_messages.py
+++ b/src/peridothitch/gateway/forwarding/fleet_messages.py
@@ -40,6 +40,8 @@
         Mean units of the quotas that a request requires.
     lenders_digest : int
         Digest of the lenders that this host knows, 0 if it knows none.
+    final_counts_by_window : dict of int to dict of str to int
+        Counts that this host has reported to the platform as the holder of the duties.
     """
 
     host_id: str
@@ -54,6 +56,7 @@
     is_final: bool = False
     size_by_customer: dict[str, float] = {}
     lenders_digest: int = 0
+    final_counts_by_window: dict[int, dict[str, int]] = {}
 
 
 class FleetView(msgspec.Struct, frozen=True, array_like=True):
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -71,6 +71,8 @@
         Returns a `peridothitch.policy.quota_shares.QuotaTerms` by customer.
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
+    final_counts : peridothitch.gateway.forwarding.final_counts.FinalCounts
+        Receives what other hosts have reported to the platform.
 
     Attributes
     ----------
@@ -78,8 +80,18 @@
         The last view that a holder sent.
     """
 
-    def __init__(self, peers, find_holder, make_report, find_terms, clock, metrics):
+    def __init__(
+        self,
+        peers,
+        find_holder,
+        make_report,
+        find_terms,
+        clock,
+        metrics,
+        final_counts,
+    ):
         self._peers = peers
+        self._final_counts = final_counts
         self._find_holder = find_holder
         self._make_report = make_report
         self._find_terms = find_terms
@@ -184,6 +196,7 @@
         counts = fleet_messages.ProcessCounts(
             report.host_id, report.incarnation, report.counts_by_window
         )
+        self._final_counts.receive(report.final_counts_by_window)
         # Backdated, so that a stopping process's counts are forwarded at once.
         at = now - _DEPARTED_AGE if report.is_final else now
         with self._lock:
--- a/src/peridothitch/gateway/forwarding/usage_duty.py
+++ b/src/peridothitch/gateway/forwarding/usage_duty.py
@@ -2,7 +2,8 @@
 
 The counts of a window are written to the store before they are sent, by a conditional
 write that fails if they exist. A holder that finds them there sends those, so that a
-report that is repeated after a lost answer, or by a successor, never differs.
+report that is repeated after a lost answer, or by a successor, never differs. What the
+store loses when it comes back from an older copy, the hosts know (see `final_counts`).
 """
 
 import datetime
@@ -43,6 +44,7 @@
     record_store : peridothitch.ports.store.Store
     fenced_lease : peridothitch.coordination.lease.FencedLease
     reports : peridothitch.gateway.forwarding.fleet_reports.FleetReports
+    final_counts : peridothitch.gateway.forwarding.final_counts.FinalCounts
     shared_clock : peridothitch.gateway.forwarding.peer_sync.SharedClock
     bounds : peridothitch.ports.entry_settings.OperatingBounds
     clock : peridothitch.ports.clock.Clock
@@ -55,6 +57,7 @@
         record_store,
         fenced_lease,
         reports,
+        final_counts,
         shared_clock,
         bounds,
         clock,
@@ -64,6 +67,7 @@
         self._store = record_store
         self._lease = fenced_lease
         self._reports = reports
+        self._final = final_counts
         self._shared_clock = shared_clock
         self._bounds = bounds
         self._clock = clock
@@ -139,7 +143,9 @@
         """Return the window's final counts after writing them to the store."""
         if window in self._counts_by_window:
             return self._counts_by_window[window]
-        counts = usage_windows.sum_counts(self._reports.counts_by_process(), window)
+        counts = self._final.find(window)
+        if counts is None:
+            counts = usage_windows.sum_counts(self._reports.counts_by_process(), window)
         key = f"{_PREFIX}{window}"
         self._write(key, window, msgspec.json.encode(counts))
         return self._counts_by_window[window]
@@ -160,6 +166,7 @@
                 raise errors.StoreUnavailableError(f"{key} was not written")
             value = item.value
         self._counts_by_window[window] = _decode(value)
+        self._final.record_own(window, self._counts_by_window[window])
 
     def _read_counts(self):
         stored = self._store.range(_PREFIX)
