Know an order for a move again after the store came back from a copy

An order in the copy got another revision with the new era, so it was another order: its record wasn't found, evidence against its version no longer counted, and a version that had been taken back was tried again. Orders are known by the store's number, which they keep in a copy; the record must also be of the order's version, since a number may be given out again. An order that the copy lacks stays until it is written again, and is then the same one.

--- a/features/ordered_move_fleet.py
+++ b/features/ordered_move_fleet.py
@@ -4,6 +4,7 @@
 import types
 
 import move_fleet
+import restorable_store
 
 from peridothitch import errors
 from peridothitch.adapters import metrics
@@ -147,6 +148,7 @@
         self.table = types.SimpleNamespace(routes=routes)
         self.is_new_version_started = False
         super().__init__(seed, version, host_count, rate=rate, window=window)
+        self.store._inner = restorable_store.RestorableStore(self.clock)
         if served is not None:
             self.run(served)
         self.is_new_version_started = True
@@ -163,6 +165,14 @@
             revision=previous.revision + 1 if previous else 1,
         )
 
+    def copy_store(self):
+        """Return a copy of the store."""
+        return self.store._inner.copy()
+
+    def restore_store(self, copied):
+        """Let the store come back from a copy."""
+        self.store._inner.restore(copied)
+
     def hosts(self):
         """Return the upstream hosts by id."""
         return {
--- a/features/ordered_moves.feature
+++ b/features/ordered_moves.feature
@@ -52,6 +52,37 @@
     And the window of the move has passed
     Then the reported state was "rolled_back" and then "in_progress" and then "completed"
 
+  Scenario Outline: A version is tried again after the store has lost the verdict on it
+    Given operators order a move within 20 seconds at 40 requests a second to a version that fails at once
+    And a copy of the store was taken <seconds> seconds later
+    When the window of the move has passed
+    And the store comes back from the copy and <then>
+    Then no request goes to the new version in 25 seconds
+    And the reported state is "rolled_back" at the end
+
+    Examples:
+      | seconds | then                          |
+      | 0       | all hosts go on               |
+      | 3       | all hosts go on               |
+      | 0       | the deciding host is killed   |
+      | 3       | the deciding host is killed   |
+
+  Scenario Outline: A move is not finished after the store came back in the middle of it
+    Given operators order a move within 40 seconds at 40 requests a second to a version that <fault>
+    And a copy of the store was taken <seconds> seconds later
+    When 12 seconds pass
+    And the store comes back from the copy and all hosts go on
+    And the window of the move has passed
+    Then the reported state is "<state>" at the end
+    And at most a tenth of all requests and 50 more went to it
+
+    Examples:
+      | fault       | seconds | state       |
+      | is good     | 0       | completed   |
+      | is good     | 6       | completed   |
+      | fails later | 0       | rolled_back |
+      | fails later | 6       | rolled_back |
+
   Scenario: Nothing goes to the new version before a move has begun
     Given operators order a move within 20 seconds at 40 requests a second
     And the store is down
--- a/features/steps/ordered_moves_steps.py
+++ b/features/steps/ordered_moves_steps.py
@@ -190,3 +190,35 @@
 def check_slow(context):
     for host in context.fleet.host_by_id.values():
         assert host.count_slow_answer(30 * SECOND) == 1, host
+
+
+@behave.given("a copy of the store was taken {seconds:d} seconds later")
+def copy_store(context, seconds):
+    context.fleet.run(seconds * SECOND)
+    context.copied = context.fleet.copy_store()
+
+
+@behave.when("the store comes back from the copy and all hosts go on")
+def restore_store(context):
+    context.fleet.restore_store(context.copied)
+
+
+@behave.when("the store comes back from the copy and the deciding host is killed")
+def restore_store_and_kill(context):
+    fleet = context.fleet
+    fleet.remove_host(fleet.decider())
+    fleet.restore_store(context.copied)
+    fleet.add_host()
+
+
+@behave.then("no request goes to the new version in {seconds:d} seconds")
+def check_not_tried(context, seconds):
+    fleet = context.fleet
+    fleet.exposed.clear()
+    fleet.run(seconds * SECOND)
+    assert set(fleet.exposed) == {"v1"}, fleet.exposed
+
+
+@behave.then('the reported state is "{state}" at the end')
+def check_state(context, state):
+    assert context.fleet.state == state, context.fleet.reported_states
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import json
 import time
 
 import behave
@@ -261,3 +262,39 @@
         seconds,
         lambda: f"versions are {_versions(context)}",
     )
+
+
+def _orders(context):
+    return [host.catalogue.move_by_service.get("till") for host in context.bench.hosts]
+
+
+@behave.when(
+    "operators order a move {moment} the copy and the store comes back from it"
+)
+def order_and_restore(context, moment):
+    order = json.dumps({"service": "till", "target": "v2", "duration_s": 60}).encode()
+    context.order = "op/rollout/till", order
+    context.bench.store.put(*context.order)
+    forwarding_bench.wait_until(
+        lambda: all(_orders(context)), "both hosts know the order"
+    )
+    if moment == "before":
+        context.copy = context.bench.store.copy()
+        context.bench.store.put("status/x", b"{}")
+    context.orders = _orders(context)
+    _restore(context)
+
+
+@behave.when("operators write the order again if it is lost")
+def write_order_again(context):
+    for _ in _watch_for(2):
+        assert all(_orders(context)), _orders(context)
+    key, order = context.order
+    if context.bench.store.read(key) is None:
+        context.bench.store.put(key, order)
+
+
+@behave.then("both hosts still know the same order")
+def check_order(context):
+    for _ in _watch_for(2):
+        assert _orders(context) == context.orders, _orders(context)
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -43,6 +43,16 @@
     When an upstream comes and the store comes back from the copy
     Then no host knows that upstream after 4 seconds
 
+  Scenario Outline: An order for a move becomes another order
+    When operators order a move <moment> and the store comes back from it
+    And operators write the order again if it is lost
+    Then both hosts still know the same order
+
+    Examples:
+      | moment          |
+      | before the copy |
+      | after the copy  |
+
   Scenario: A host that starts takes the older rules of the copy
     When operators add a route and the store comes back from the copy
     And a third host starts
--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -107,7 +107,6 @@
         self._metrics = metrics
         self._random = random_source or random.Random()
         self._era_rule = era_rule or mirror_eras.StoreRule()
-        self._losses = mirror_eras.Losses()
         self.restored_at = None
         self._lock = threading.RLock()
         self._item_by_key = {}
@@ -160,14 +159,6 @@
             era = store.era_of(self.revision)
             return bool(mirror_eras.retained_items(self._item_by_key, era))
 
-    def lost_items(self):
-        """Return the keys held before the store came back from a copy and lost them.
-
-        Keys that were written again since are left out.
-        """
-        with self._lock:
-            return self._losses.items(self._item_by_key)
-
     def items(self):
         """Return the keys as a dict of key to `peridothitch.ports.store.KeyValue`."""
         with self._lock:
@@ -339,7 +330,6 @@
     def _record_restore(self, revision, at):
         """Record that the store has come back from an older copy of itself."""
         self.restored_at = at
-        self._losses.record(self._item_by_key, revision)
         self._metrics.count("mirror_eras", prefix=self.prefix)
         _log.info(
             "store came back from a copy",
--- a/src/peridothitch/coordination/mirror_eras.py
+++ b/src/peridothitch/coordination/mirror_eras.py
@@ -15,7 +15,6 @@
 
 __all__ = [
     "EraRule",
-    "Losses",
     "StoreRule",
     "WriteOrderRule",
     "digest",
@@ -162,42 +161,6 @@
     }
 
 
-class Losses:
-    """What the store lost when it came back from a copy, as far as one host knows."""
-
-    def __init__(self):
-        self._item_by_key_before = {}
-        self._first_revision = 0
-
-    def record(self, item_by_key, revision):
-        """Record what was held until the first revision of a later era.
-
-        Items that were lost before and not written again remain.
-        """
-        lost_by_key = self.items(item_by_key)
-        self._item_by_key_before = lost_by_key | item_by_key
-        self._first_revision = revision
-
-    def items(self, current_by_key):
-        """Return the lost items that were not written again, by key.
-
-        Parameters
-        ----------
-        current_by_key : dict of str to peridothitch.ports.store.KeyValue
-        """
-        return {
-            key: item
-            for key, item in self._item_by_key_before.items()
-            if self._is_lost(item, current_by_key.get(key))
-        }
-
-    def _is_lost(self, item, current):
-        if current is None:
-            return True
-        is_copied = current.mod_revision <= self._first_revision
-        return is_copied and current.value != item.value
-
-
 def digest(item_by_key):
     """Return a number, not 0, that is the same for the same content in other eras."""
     content = sorted(
--- a/src/peridothitch/gateway/forwarding/catalogue.py
+++ b/src/peridothitch/gateway/forwarding/catalogue.py
@@ -148,7 +148,7 @@
                 continue
             if move is not None:
                 move_by_service[move.service] = dataclasses.replace(
-                    move, revision=item.mod_revision
+                    move, revision=store.number_of(item.mod_revision)
                 )
         return move_by_service
 
--- a/src/peridothitch/gateway/forwarding/move_duty.py
+++ b/src/peridothitch/gateway/forwarding/move_duty.py
@@ -85,7 +85,7 @@
             if host.service == order.service and host.version != order.version
         ]
         record = moves.MoveRecord(
-            move_id=f"{order.service}/{order.revision}",
+            move_id=f"{order.service}/{order.version}/{order.revision}",
             name=order.service,
             service=order.service,
             # The version that most hosts run; an earlier move may have left others.
--- a/src/peridothitch/gateway/forwarding/move_records.py
+++ b/src/peridothitch/gateway/forwarding/move_records.py
@@ -25,7 +25,7 @@
     Attributes
     ----------
     order_revision : int
-        Store revision of the order that it carries out.
+        `OrderedMove.revision` of the order that it carries out.
     told : peridothitch.ports.record_codec.MoveState
         State that operators see.
     record : peridothitch.policy.moves.MoveRecord
@@ -115,7 +115,7 @@
 
 
 def _is_of_order(persisted, order):
-    # An order in the copy that a store comes back from keeps its number.
-    return persisted is not None and store.number_of(
-        persisted.order_revision
-    ) == store.number_of(order.revision)
+    if persisted is None or persisted.order_revision != order.revision:
+        return False
+    # A store that comes back from a copy gives the number to another order, too.
+    return persisted.record.to_version == order.version
--- a/src/peridothitch/ports/record_codec.py
+++ b/src/peridothitch/ports/record_codec.py
@@ -28,7 +28,8 @@
     duration : datetime.timedelta
         Maximum duration of the move.
     revision : int
-        Store revision of the order; a rewritten order is a new move.
+        Number that the store gave the order, whatever era it is in now; a rewritten
+        order is a new move.
     """
 
     service: str
