Reject odd records of upstreams, whatever they are nested or numbered

A report of other operators: one odd entry of another writer ended hosts, or stopped them from following the list. It could happen here: an entry nested 100,000 deep made the decoder raise a RecursionError, which ended the loop that follows the list, again after each restart; a host knew no upstream that came later. Numbers of any size and ports such as +1 or 1_0 were taken.

--- a/src/peridothitch/platform/client.py
+++ b/src/peridothitch/platform/client.py
@@ -59,7 +59,7 @@
         self.headers = {} if headers is None else headers
         try:
             fields = msgspec.json.decode(body) if body else {}
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             _log.info("answer is not JSON", status=status, reason=str(error))
             fields = {}
         self.fields = fields if isinstance(fields, dict) else {}
--- a/src/peridothitch/platform/record_codec.py
+++ b/src/peridothitch/platform/record_codec.py
@@ -2,6 +2,7 @@
 
 import datetime
 import ipaddress
+import typing
 
 import msgspec
 
@@ -29,6 +30,11 @@
 }
 
 
+_Capacity = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+"""Numbers in records of upstreams; entries of other writers may have any."""
+
+
 class _Backend(msgspec.Struct, frozen=True):
     service: str
     weight: float = 1.0
@@ -100,11 +106,11 @@
     address: str
     zone: str
     version: str
-    capacity: int
+    capacity: _Capacity
     state: str
-    sequence: int
+    sequence: _Count
     # Unix milliseconds of the start; distinguishes two starts under the same id.
-    born: int = 0
+    born: _Count = 0
     spot_enabled: bool = False
 
 
@@ -114,8 +120,8 @@
 
 class _Sequenced(msgspec.Struct, frozen=True):
     # Both grow: the start of the replica, then the reports since.
-    sequence: int
-    born: int = 0
+    sequence: _Count
+    born: _Count = 0
 
 
 class _Rollout(msgspec.Struct, frozen=True):
@@ -125,6 +131,10 @@
     duration_s: float
 
 
+_MALFORMED = msgspec.MsgspecError, UnicodeDecodeError, RecursionError
+"""Errors of the decoder; it gives up values that are nested too deeply."""
+
+
 class PlatformRecordCodec(record_codec.RecordCodec):
     """Encodes and decodes the platform's records.
 
@@ -163,7 +173,7 @@
         record = _decode(value, _Replica)
         host_id = key.removeprefix(_HOSTS)
         state = _HOST_STATE_BY_NAME.get(record.state)
-        if state is None or not host_id or not record.service or record.capacity < 1:
+        if state is None or not host_id or not record.service:
             raise _invalid(f"{key} is not a valid host record")
         _check_address(record.address)
         return upstream.Host(
@@ -198,7 +208,7 @@
             if key.startswith(_HOSTS):
                 record = msgspec.json.decode(value, type=_Sequenced)
                 return record.born, record.sequence
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except _MALFORMED:
             return None
         return None
 
@@ -211,7 +221,7 @@
 def _decode(value, record_type):
     try:
         return msgspec.json.decode(value, type=record_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except _MALFORMED as error:
         raise _invalid(str(error)) from None
 
 
@@ -223,7 +233,8 @@
     host, _, port = address.rpartition(":")
     try:
         ipaddress.IPv4Address(host)
-        valid = 0 < int(port) < 1 << 16
+        is_number = port.isascii() and port.isdigit()
+        valid = is_number and 0 < int(port) < 1 << 16
     except ValueError:
         valid = False
     if not valid:
