Refuse an answer whose head was cut off

A report of other operators: a replica stopped in the middle of its answer's head, and clients got 200 with an empty body, framed as whole. It could happen here: http.client takes the end of the connection for the end of the head, so that without a length the body was empty and complete.

The reader of answers now raises IncompleteRead where a line, of a head, a chunk's size or a trailer, has no end.

--- a/features/reports.feature
+++ b/features/reports.feature
@@ -27,3 +27,40 @@
       | a port with an underscore          | does not use  |
       | a port in digits of another script | does not use  |
       | bytes that are no text             | does not use  |
+
+  Scenario Outline: An answer whose head was cut is framed as whole
+    When each replica's next behaviour is "<fault>"
+    And a caller posts to "/charge/1"
+    Then the caller gets 502 and the request ran 1 times
+
+    Examples:
+      | fault               |
+      | cut_after_status    |
+      | cut_after_signature |
+      | cut_in_name         |
+      | cut_in_length       |
+      | cut_after_length    |
+
+  Scenario Outline: A request that may be repeated is not, though its answer's head was cut
+    When one replica's next behaviour is "<fault>"
+    And a caller gets "/lookup/1" until that replica has received a request
+    Then the caller got 200 each time
+    And each body is whole
+
+    Examples:
+      | fault               |
+      | cut_after_status    |
+      | cut_after_signature |
+      | cut_in_name         |
+      | cut_in_length       |
+      | cut_after_length    |
+
+  Scenario Outline: A stream whose head was cut looks complete
+    When each replica's next behaviour is "<fault>"
+    And a caller posts to "/planner/1"
+    Then the caller gets 502 and the request ran 1 times
+
+    Examples:
+      | fault               |
+      | cut_after_signature |
+      | cut_in_name         |
--- a/features/steps/reports_steps.py
+++ b/features/steps/reports_steps.py
@@ -81,3 +81,9 @@
 @behave.then("the entry host may use that record")
 def check_used(context):
     assert "odd" in context.host.catalogue.hosts()
+
+
+@behave.then("each body is whole")
+def check_bodies(context):
+    for response in context.responses:
+        assert response.complete and b" of /lookup/1" in response.body, response
--- a/src/peridothitch/bounded_reader.py
+++ b/src/peridothitch/bounded_reader.py
@@ -100,15 +100,21 @@
         return self._buffer.startswith(prefix)
 
     def readline(self, limit=-1):
-        """Return a line of at most `limit` bytes."""
+        """Return a line of at most `limit` bytes.
+
+        Raises
+        ------
+        http.client.IncompleteRead
+            The server closed the connection inside the line or before it; `http.client`
+            would take that for the end of a head.
+        """
         max_bytes = limit if limit >= 0 else _MAX_LINE_BYTES
         while True:
             end = self._buffer.find(b"\n") + 1
             if end or len(self._buffer) >= max_bytes:
                 break
             if not self._fill():
-                end = len(self._buffer)
-                break
+                raise http.client.IncompleteRead(bytes(self._buffer))
         line = self._consume(min(end or max_bytes, max_bytes))
         self._line_allowance -= len(line)
         if self._line_allowance < 0:
--- a/src/peridothitch/gateway/attempts.py
+++ b/src/peridothitch/gateway/attempts.py
@@ -295,7 +295,7 @@
         return 0
     try:
         found = msgspec.json.decode(body, type=_Completion).usage
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return 0
     return found.completion_tokens if found is not None else 0
 
--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -13,6 +13,7 @@
 import time
 
 from peridothitch import sockets
+from peridothitch.standins import replica_heads
 
 __all__ = ["ReceivedRequest", "Replica"]
 
@@ -50,7 +51,7 @@
         return ""
 
 
-class Replica:
+class Replica(replica_heads.CutHeads):
     """One replica.
 
     Parameters
