Leave out a window that may have been reported with lost counts

When all hosts lose power around the moment at which the store comes back from an older copy, nobody knows the counts of the windows reported since the copy.

A holder in a later era than the store's last complete one now reports such a window only with counts that it or another host has kept, or if the last holder before has told that it did not report it; else it writes that the window is not reported. A missed report costs, a second one that differs breaks a rule.

features/usage_progress.feature: the new scenario reported 120 and 2 requests without this.

--- a/features/steps/usage_progress_steps.py
+++ b/features/steps/usage_progress_steps.py
@@ -67,8 +67,13 @@
             {},
             {},
             final_counts_by_window=self._final_counts.own(),
+            held_number=self._final_counts.held_number,
         )
 
+    def see_holder(self, fencing_number):
+        """See another host's fencing number in the store."""
+        self._final_counts.record_holder(fencing_number)
+
     def receive_report(self, report):
         """Receive another host's report as a call."""
         payload = msgspec.msgpack.encode(report)
@@ -207,3 +212,46 @@
     counts = [report.count_by_customer for report in reports]
     assert len(reports) >= 1 and all(found == counts[0] for found in counts), counts
     assert context.store.get(f"/peridothitch/usage-windows/{context.window}")
+
+
+@behave.when("all of them are killed and a new process takes over in a later era")
+def kill_all_in_later_era(context):
+    context.holder = _Process(context, "edge-2", store.in_era(2, 6))
+    context.holder.see_holder(0)
+    other = _Process(context, "edge-1", 0)
+    context.holder.receive_report(other.make_report())
+    context.holder.receive(context.late_counts)
+    context.holder.run(context.clock, 2)
+
+
+@behave.then("the window was reported once")
+def check_reported_once(context):
+    reports = [r for r in context.platform.reports if r.window == context.window]
+    assert len(reports) == 1, reports
+
+
+@behave.then("the next window is reported as usual")
+def check_next(context):
+    counts = {context.window + 1: {"lanark": 3}}
+    context.holder.receive([fleet_messages.ProcessCounts("edge-1", "q", counts)])
+    end = (context.window + 2) * 5 + 4
+    context.holder.run(context.clock, end - context.clock.now().timestamp())
+    reports = [r for r in context.platform.reports if r.window == context.window + 1]
+    assert [r.count_by_customer for r in reports] == [{"lanark": 3}], reports
+
+
+@behave.given("the holder has taken over the duties in the first era")
+def take_over_in_first_era(context):
+    context.holder.take_over(store.in_era(1, 7))
+    context.holder.run(context.clock, 0.5)
+
+
+@behave.when("the store comes back and another host takes over in a later era")
+def take_over_in_later_era(context):
+    successor = _Process(context, "edge-2", store.in_era(2, 6))
+    successor.see_holder(store.in_era(1, 7))
+    context.clock.advance(datetime.timedelta(seconds=2))
+    successor.run(context.clock, 0.5)
+    successor.receive_report(context.holder.make_report())
+    successor.receive(_process_counts(context))
+    successor.run(context.clock, 8)
--- a/features/usage_progress.feature
+++ b/features/usage_progress.feature
@@ -28,6 +28,22 @@
     When the saved counts are damaged and another host takes over the duties
     Then it counts a damaged record and goes on
 
+  Scenario: A window is reported by hosts that cannot know that it was reported before
+    Given 3 entry hosts that counted requests in a window
+    And the holder has taken over the duties in the first era
+    And the window ended 2.5 seconds ago
+    When it is reported, the store loses its counts, and more requests become known
+    And all of them are killed and a new process takes over in a later era
+    Then the next window is reported as usual
+    And the window was reported once
+
+  Scenario: A window is left out though its last holder tells that it did not report it
+    Given 3 entry hosts that counted requests in a window
+    And the holder has taken over the duties in the first era
+    And the window ended 0.5 seconds ago
+    When the store comes back and another host takes over in a later era
+    Then the window is reported once with all its requests
+
   Scenario Outline: A window is reported with other counts after the store lost the first
     Given 3 entry hosts that counted requests in a window
     And the window ended 2.5 seconds ago
--- a/src/peridothitch/gateway/forwarding/duty_runner.py
+++ b/src/peridothitch/gateway/forwarding/duty_runner.py
@@ -57,6 +57,11 @@
         item = self._leases.items().get(self._key)
         return lease.read_holder(item.value) if item is not None else ""
 
+    def find_holder_number(self):
+        """Return the fencing number of the host that holds the lease, 0 if none."""
+        item = self._leases.items().get(self._key)
+        return item.create_revision if item is not None else 0
+
     def run(self, stop):
         """Renew or acquire the lease periodically until the event `stop` is set."""
         while not self._clock.wait(stop, _PERIOD):
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -371,6 +371,7 @@
         return max(known, recorded or _ASSUMED_HOST_COUNT)
 
     def _apply_record(self):
+        self._final_counts.record_holder(self._duty_runner.find_holder_number())
         self._quotas.apply_record(fleet_record.read_record(self._leases))
         self._part_guard.restore()
 
@@ -389,4 +390,5 @@
             size_by_customer=self._quotas.sizes(),
             lenders_digest=self._quotas.lenders_digest,
             final_counts_by_window=self._final_counts.own(),
+            held_number=self._final_counts.held_number,
         )
--- a/src/peridothitch/gateway/forwarding/fleet_messages.py
+++ b/src/peridothitch/gateway/forwarding/fleet_messages.py
@@ -42,6 +42,8 @@
         Digest of the lenders that this host knows, 0 if it knows none.
     final_counts_by_window : dict of int to dict of str to int
         Counts that this host has reported to the platform as the holder of the duties.
+    held_number : int
+        Fencing number under which this process held them last, 0 if never.
     """
 
     host_id: str
@@ -57,6 +59,7 @@
     size_by_customer: dict[str, float] = {}
     lenders_digest: int = 0
     final_counts_by_window: dict[int, dict[str, int]] = {}
+    held_number: int = 0
 
 
 class FleetView(msgspec.Struct, frozen=True, array_like=True):
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -196,7 +196,7 @@
         counts = fleet_messages.ProcessCounts(
             report.host_id, report.incarnation, report.counts_by_window
         )
-        self._final_counts.receive(report.final_counts_by_window)
+        self._final_counts.receive(report.final_counts_by_window, report.held_number)
         # Backdated, so that a stopping process's counts are forwarded at once.
         at = now - _DEPARTED_AGE if report.is_final else now
         with self._lock:
--- a/src/peridothitch/gateway/forwarding/usage_duty.py
+++ b/src/peridothitch/gateway/forwarding/usage_duty.py
@@ -19,6 +19,10 @@
 __all__ = ["UsageDuty"]
 
 _PREFIX = "/peridothitch/usage-windows/"
+_ERA_KEY = "/peridothitch/usage-era"
+_NOT_REPORTED = b"null"
+"""Stands for the counts of a window that may have been reported with unknown ones."""
+
 _SETTLE_TIME = datetime.timedelta(seconds=2)
 """From a window's end until its counts are final: two periods of the hosts' reports."""
 
@@ -73,6 +77,7 @@
         self._clock = clock
         self._metrics = metrics
         self._fencing_number = 0
+        self._last_lost_window = 0
         self._sent_windows = set()
         self._counts_by_window = {}
         self._next_attempt = self._gathered_at = clock.monotonic()
@@ -83,17 +88,42 @@
     def step(self, permit):
         """Send the reports that are due."""
         if permit.fencing_number != self._fencing_number:
-            self._counts_by_window = self._read_counts()
-            self._progress.restore()
-            self._fencing_number = permit.fencing_number
-            self._sent_windows.clear()
-            self._gathered_at = self._clock.monotonic() + _GATHER_TIME
+            self._begin_term(permit.fencing_number)
         if self._clock.monotonic() < self._next_attempt:
             return
         for window in self._due_windows():
             self._send(window)
+        if self._last_lost_window and self._clock.monotonic() >= self._gathered_at:
+            self._write_era()
         self._progress.save(self._oldest_window())
 
+    def _begin_term(self, fencing_number):
+        self._counts_by_window = self._read_counts()
+        self._progress.restore()
+        era = store.era_of(fencing_number)
+        self._last_lost_window = 0
+        if self._read_era(min(era, 1)) != era:
+            settled = self._shared_clock.now() - _SETTLE_TIME
+            window = usage_windows.window_of(settled, self._bounds.usage_window) - 1
+            self._last_lost_window = window
+        self._final.begin_term(fencing_number)
+        self._fencing_number = fencing_number
+        self._sent_windows.clear()
+        self._gathered_at = self._clock.monotonic() + _GATHER_TIME
+
+    def _read_era(self, first_era):
+        """Return the era of which the store has all windows' counts."""
+        item = self._store.get(_ERA_KEY)
+        if item is None:
+            return first_era
+        return msgspec.json.decode(item.value, type=int)
+
+    def _write_era(self):
+        """Record that the windows that the store has lost are dealt with."""
+        era = msgspec.json.encode(store.era_of(self._fencing_number))
+        self._store.transact([], [store.Put(_ERA_KEY, era)])
+        self._last_lost_window = 0
+
     def _oldest_window(self):
         """Return the oldest window that may still be reported."""
         latest_end = self._shared_clock.now() - self._bounds.usage_delay
@@ -116,6 +146,11 @@
 
     def _send(self, window):
         counts = self._final_counts(window)
+        if counts is None:
+            self._sent_windows.add(window)
+            self._metrics.count("usage_windows_not_reported")
+            _log.error("usage not reported, it may have been before", window=window)
+            return
         permit = self._lease.permit()
         report = duties.UsageReport(window=window, count_by_customer=counts)
         try:
@@ -140,16 +175,28 @@
         )
 
     def _final_counts(self, window):
-        """Return the window's final counts after writing them to the store."""
+        """Return the window's final counts after writing them to the store.
+
+        None if the window may have been reported with others, which the store and all
+        hosts have lost.
+        """
         if window in self._counts_by_window:
             return self._counts_by_window[window]
         counts = self._final.find(window)
+        if counts is None and self._may_be_reported(window):
+            self._write(f"{_PREFIX}{window}", window, _NOT_REPORTED)
+            return self._counts_by_window[window]
         if counts is None:
             counts = usage_windows.sum_counts(self._reports.counts_by_process(), window)
         key = f"{_PREFIX}{window}"
         self._write(key, window, msgspec.json.encode(counts))
         return self._counts_by_window[window]
 
+    def _may_be_reported(self, window):
+        if window > self._last_lost_window:
+            return False
+        return not self._final.knows_all_before(store.era_of(self._fencing_number))
+
     def _write(self, key, window, value):
         compares = [store.Compare(key, store.Target.MOD, 0)]
         writes = [store.Put(key, value)]
@@ -166,7 +213,8 @@
                 raise errors.StoreUnavailableError(f"{key} was not written")
             value = item.value
         self._counts_by_window[window] = _decode(value)
-        self._final.record_own(window, self._counts_by_window[window])
+        if self._counts_by_window[window] is not None:
+            self._final.record_own(window, self._counts_by_window[window])
 
     def _read_counts(self):
         stored = self._store.range(_PREFIX)
@@ -178,4 +226,4 @@
 
 
 def _decode(value):
-    return msgspec.json.decode(value, type=dict[str, int])
+    return msgspec.json.decode(value, type=dict[str, int] | None)
