Start late in a stop only what ends before the host, however slow the upstream

A report of other operators: requests that came late in the grace period of a planned stop were passed on and cut at its end without an answer. It could happen here: two latency objectives had to be left, while a request may take until its own time ends.

Once the balancer has had time to route to other hosts, a request is started only if the time that it has ends before the host; others are refused at once (2003), to be served elsewhere. The expected length of a stream decides only before that.

The examples of late streams in features/forwarding_decisions.feature get the time that a request has: two that were begun without regard to it (120 to 150 tokens at 3.4 s, a plain one at 5.0 s) are refused with 12 and 2 s left and begun with 3.4 and 1.8 s; the others are unchanged.

--- a/features/forwarding_decisions.feature
+++ b/features/forwarding_decisions.feature
@@ -54,16 +54,18 @@
       | 80    | 8        |
 
   Scenario Outline: A stopping host starts only streams that will end in time
-    When a stream of about <expected> and at most <most> tokens comes <after> seconds after a stop with 6.9 seconds
+    When a stream of about <expected> and at most <most> tokens comes <after> seconds after a stop with 6.9 seconds, with <allowed> left
     Then the late stream is <decision>
 
     Examples:
-      | expected | most | after | decision |
-      | 150      | 900  | 0.5   | begun    |
-      | 900      | 900  | 0.5   | refused  |
-      | 120      | 900  | 3.4   | refused  |
-      | 120      | 150  | 3.4   | begun    |
-      | 0        | 0    | 5.0   | begun    |
+      | expected | most | after | allowed | decision |
+      | 150      | 900  | 0.5   | 12      | begun    |
+      | 900      | 900  | 0.5   | 12      | refused  |
+      | 120      | 900  | 3.4   | 12      | refused  |
+      | 120      | 150  | 3.4   | 12      | refused  |
+      | 120      | 150  | 3.4   | 3.4     | begun    |
+      | 0        | 0    | 5.0   | 2       | refused  |
+      | 0        | 0    | 5.0   | 1.8     | begun    |
 
   Scenario: The longest prefix is found
     Then for all routes and paths the route with the longest prefix is found
--- a/features/reports.feature
+++ b/features/reports.feature
@@ -64,3 +64,10 @@
       | fault               |
       | cut_after_signature |
       | cut_in_name         |
+
+  Scenario: A request that comes late in a planned stop is cut without an answer
+    Given an entry host with a grace period of 5 seconds
+    And the replicas record what they receive late in the stop
+    When 8 callers use their connections until the host has stopped
+    Then no request was passed on whose time ends after the host
+    And every request that ran was answered completely
--- a/features/steps/late_streams_steps.py
+++ b/features/steps/late_streams_steps.py
@@ -12,11 +12,16 @@
 
 @behave.when(
     "a stream of about {expected:d} and at most {maximum:d} tokens comes"
-    " {after:g} seconds after a stop with {length:g} seconds"
+    " {after:g} seconds after a stop with {length:g} seconds, with {allowed:g} left"
 )
-def arrive_late(context, expected, maximum, after, length):
+def arrive_late(context, expected, maximum, after, length, allowed):
     context.is_begun = admission.can_finish_in_time(
-        (length - after) * _SECOND, _OBJECTIVE, expected, maximum, after * _SECOND
+        (length - after) * _SECOND,
+        _OBJECTIVE,
+        expected,
+        maximum,
+        after * _SECOND,
+        allowed * _SECOND,
     )
 
 
--- a/features/steps/reports_steps.py
+++ b/features/steps/reports_steps.py
@@ -1,11 +1,19 @@
 """Steps for what other operators reported."""
 
 import json
+import time
 
 import behave
 import forwarding_bench as benches
 
 _DEPTH = 100_000
+_USE_SECONDS = 0.4
+"""From the start of the callers until the host is stopped, with a margin."""
+
+_GRACE_SECONDS = 5
+_BALANCER_SECONDS = 2.5
+"""From a stop until the balancer routes to other hosts."""
+
 _RECORD = {
     "service": "till",
     "address": "127.0.0.1:1",
@@ -87,3 +95,32 @@
 def check_bodies(context):
     for response in context.responses:
         assert response.complete and b" of /lookup/1" in response.body, response
+
+
+@behave.given("the replicas record what they receive late in the stop")
+def record_late_requests(context):
+    """Record the ends of the requests that replicas receive once the balancer knows."""
+    context.late_ends = []
+    begins_at = time.monotonic() + _USE_SECONDS + _BALANCER_SECONDS
+    context.host_ends_at = time.monotonic() + _USE_SECONDS + _GRACE_SECONDS
+    for replica in context.bench.replica_by_id.values():
+        _record_requests(replica, begins_at, context.late_ends)
+
+
+def _record_requests(replica, begins_at, ends):
+    answer = replica.do_answer
+
+    def do_answer(sock, request):
+        now = time.monotonic()
+        milliseconds = float(request.value("Peridothitch-Deadline-Ms"))
+        if now >= begins_at:
+            ends.append(now + milliseconds / 1000)
+        return answer(sock, request)
+
+    replica.do_answer = do_answer
+
+
+@behave.then("no request was passed on whose time ends after the host")
+def check_late_requests(context):
+    late = [end - context.host_ends_at for end in context.late_ends]
+    assert all(seconds <= 0 for seconds in late), (len(late), max(late))
--- a/src/peridothitch/gateway/forwarding/handler.py
+++ b/src/peridothitch/gateway/forwarding/handler.py
@@ -214,6 +214,7 @@
             job.metadata.expected_tokens,
             job.metadata.output_tokens,
             now - self._draining_since,
+            job.deadline - now,
         ):
             return
         raise errors.RequestError(
--- a/src/peridothitch/policy/admission.py
+++ b/src/peridothitch/policy/admission.py
@@ -45,12 +45,15 @@
     return since_stop >= _MIN_DRAIN_TIME and is_quiet and not active_count
 
 
-def can_finish_in_time(time_left, objective, expected_tokens, most_tokens, since_stop):
+def can_finish_in_time(
+    time_left, objective, expected_tokens, most_tokens, since_stop, time_allowed
+):
     """Return whether a stopping entry host may start a request.
 
     Until the balancer reacts, nearly all requests still arrive here, and the expected
     length of the answer decides. Later requests can be served by other entry hosts, so
-    they are started only if even the longest answer ends in time.
+    they are started only if their own time ends before the entry host, however slow
+    the upstream is.
 
     Parameters
     ----------
@@ -63,10 +66,12 @@
         and the maximum; 0 for other answers.
     since_stop : datetime.timedelta
         Time since the entry host was asked to stop.
+    time_allowed : datetime.timedelta
+        Time until the caller's deadline or the route's timeout.
     """
-    output_tokens = expected_tokens or most_tokens
     if since_stop >= _BALANCER_SWITCH_TIME:
-        output_tokens = max(expected_tokens, most_tokens)
+        return time_allowed <= time_left
+    output_tokens = expected_tokens or most_tokens
     generation = datetime.timedelta(seconds=_SECONDS_PER_TOKEN * output_tokens)
     return objective * 2 + generation <= time_left
 
