Send nothing more to an upstream whose answers tell that it leaves

New on the users' pages: a replica that leaves says so in all its answers too (Server-Leaving), and gets no request from a host that has passed such an answer on (DRAIN). This didn't hold: the header was not read, so that an upstream whose record came late was used on.

--- a/src/peridothitch/gateway/forwarding/retrying_sender.py
+++ b/src/peridothitch/gateway/forwarding/retrying_sender.py
@@ -227,6 +227,7 @@
         answer = deps.transport.open(host, call, self._set_cancel)
         answer.set_deadline(job.deadline)
         attempt.answer = answer
+        deps.upstreams.record_notice(host, answer.status, answer.metadata)
         if _tells_limit(answer):
             deps.limits.record(host, answer.metadata.request_limit)
         if answer.metadata.load is not None:
--- /dev/null
+++ b/src/peridothitch/gateway/forwarding/upstream_notices.py
@@ -0,0 +1,71 @@
+"""What upstreams ask of this entry host in their answers.
+
+An upstream that leaves says so in all its answers, often before its record does.
+"""
+
+import collections
+import threading
+
+import logbook
+
+__all__ = ["UpstreamNotices"]
+
+_MAX_NOTICES = 4096
+"""The oldest notices, of upstreams that are gone, are forgotten beyond this."""
+
+_log = logbook.Logger("forwarding")
+
+
+class UpstreamNotices:
+    """Notices of upstreams to this host, for as long as they hold.
+
+    Parameters
+    ----------
+    clock : peridothitch.ports.clock.Clock
+    metrics : peridothitch.adapters.metrics.Metrics
+    """
+
+    def __init__(self, clock, metrics):
+        self._clock = clock
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._leaving_by_key = collections.OrderedDict()
+
+    def record(self, host, status, metadata):
+        """Record what the head of an answer says.
+
+        Parameters
+        ----------
+        host : peridothitch.ports.upstream.Host
+        status : int
+        metadata : peridothitch.ports.forwarding.ResponseMetadata
+        """
+        if metadata.leaving:
+            self._record_leaving(host)
+
+    def _record_leaving(self, host):
+        with self._lock:
+            if _key(host) in self._leaving_by_key:
+                return
+            _put(self._leaving_by_key, _key(host), True)
+        self._metrics.count("upstreams_told_leaving", service=host.service)
+        _log.info("upstream tells that it leaves", host_id=host.host_id)
+
+    def is_leaving(self, host):
+        """Return whether an upstream has told that it leaves."""
+        return _key(host) in self._leaving_by_key
+
+    def may_send(self, host):
+        """Return whether an upstream takes requests, as far as it has told."""
+        return not self.is_leaving(host)
+
+
+def _key(host):
+    return host.host_id, host.incarnation
+
+
+def _put(value_by_key, key, value):
+    value_by_key[key] = value
+    value_by_key.move_to_end(key)
+    while len(value_by_key) > _MAX_NOTICES:
+        value_by_key.popitem(last=False)
--- a/src/peridothitch/gateway/forwarding/upstream_pool.py
+++ b/src/peridothitch/gateway/forwarding/upstream_pool.py
@@ -8,6 +8,7 @@
 
 import logbook
 
+from peridothitch.gateway.forwarding import upstream_notices
 from peridothitch.policy import placement, prompt_cache, upstream_cooldown
 from peridothitch.ports import upstream
 
@@ -68,6 +69,7 @@
         self._metrics = metrics
         self._limits = limits
         self._random = random_source or random.Random()
+        self._notices = upstream_notices.UpstreamNotices(clock, metrics)
         self._lock = threading.Lock()
         self._entry_by_id = {}
         self._work_seconds_by_service = {}
@@ -126,6 +128,7 @@
                 and entry.host.state is upstream.HostState.LIVE
                 and host_id not in excluded
                 and (versions is None or entry.host.version in versions)
+                and self._notices.may_send(entry.host)
                 and self._limits.may_send(entry.host)
             ]
             available = [
@@ -181,7 +184,13 @@
         """Return whether an upstream still accepts requests."""
         with self._lock:
             entry = self._find_entry(host)
-            return entry is not None and entry.host.state is upstream.HostState.LIVE
+            if entry is None or self._notices.is_leaving(host):
+                return False
+            return entry.host.state is upstream.HostState.LIVE
+
+    def record_notice(self, host, status, metadata):
+        """Record what an answer's head says of the upstream, such as that it leaves."""
+        self._notices.record(host, status, metadata)
 
     def begin_request(self, host, need):
         """Record that a request is sent; returns the uncached tokens of its prompt."""
--- a/src/peridothitch/platform/header_codec.py
+++ b/src/peridothitch/platform/header_codec.py
@@ -25,6 +25,7 @@
 _HOST_ID = "peridothitch-replica-id"
 _LOAD = "peridothitch-replica-load"
 _LIMIT = "server-limit"
+_LEAVING = "server-leaving"
 
 _CONNECTION_FIELDS = frozenset(
     {
@@ -90,6 +91,7 @@
             host_id=value_by_name.get(_HOST_ID, ""),
             load=_to_load(value_by_name.get(_LOAD)),
             request_limit=_to_limit(value_by_name.get(_LIMIT)),
+            leaving=value_by_name.get(_LEAVING, "").strip() == "1",
         )
 
     def to_upstream(self, fields, outbound):
--- a/src/peridothitch/ports/forwarding.py
+++ b/src/peridothitch/ports/forwarding.py
@@ -287,6 +287,8 @@
     request_limit : float
         Requests a second that the upstream takes from all entry hosts together;
         infinite if it names no limit, NaN if what it names is no such number.
+    leaving : bool
+        Whether the upstream tells that it leaves.
     """
 
     request_id: str = ""
@@ -295,6 +297,7 @@
     host_id: str = ""
     load: Load | None = None
     request_limit: float = math.inf
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -51,7 +51,7 @@
         return ""
 
 
-class Replica(replica_heads.CutHeads):
+class Replica(replica_heads.CutHeads, replica_heads.Notices):
     """One replica.
 
     Parameters
@@ -70,8 +70,6 @@
         Ids of the requests that were handled with a fault.
     cancelled_request_ids : list of str
         Ids of the streams whose connection was closed by the other end.
-    limit : str
-        Requests a second that its answers name as its limit, empty for none.
     deadly_parts : frozenset of str
         Ids of prompt parts on which the replica crashes when it begins an answer.
     """
@@ -84,7 +82,6 @@
         self.executed_request_ids = []
         self.faulty_request_ids = set()
         self.cancelled_request_ids = []
-        self.limit = ""
         self.deadly_parts = frozenset()
         self._behaviours = collections.deque()
         self._default_behaviour = "answer"
@@ -170,13 +167,12 @@
 
     def _head(self, request, status, *lines):
         reason = http.client.responses[status]
-        if self.limit:
-            lines = (f"Server-Limit: {self.limit}", *lines)
         return "\r\n".join(
             [
                 f"HTTP/1.1 {status} {reason}",
                 f"Peridothitch-Attempt-Id: {request.value('Peridothitch-Attempt-Id')}",
                 "Peridothitch-Replica-Load: 1,0,8",
+                *self._notice_lines(),
                 *lines,
                 "",
                 "",
--- a/src/peridothitch/standins/replica_heads.py
+++ b/src/peridothitch/standins/replica_heads.py
@@ -1,6 +1,34 @@
-"""Faults of a stand-in replica in the heads of its answers."""
+"""Heads of a stand-in replica's answers: what they tell, and how they are cut."""
 
-__all__ = ["CutHeads"]
+__all__ = ["CutHeads", "Notices"]
+
+
+class Notices:
+    """What a replica tells of itself in the heads of all its answers.
+
+    Attributes
+    ----------
+    limit : str
+        Requests a second that it names as its limit, empty for none.
+    is_leaving : bool
+        Whether it tells that it leaves.
+    retry_after : str
+        Seconds after which it wants the next request, empty for none.
+    """
+
+    limit = ""
+    is_leaving = False
+    retry_after = ""
+
+    def _notice_lines(self):
+        lines = []
+        if self.limit:
+            lines.append(f"Server-Limit: {self.limit}")
+        if self.is_leaving:
+            lines.append("Server-Leaving: 1")
+        if self.retry_after:
+            lines.append(f"Retry-After: {self.retry_after}")
+        return lines
 
 
 class CutHeads:
