--- a/features/upstream_notices.feature
+++ b/features/upstream_notices.feature
@@ -14,3 +14,41 @@
       | path      |
       | /charge/1 |
       | /lookup/1 |
+
+  Scenario Outline: An upstream that turns requests away for a time gets more
+    Given the replica "till-a" turns requests away for <seconds> s
+    When callers send 40 requests a second to "<path>" for 3 s
+    Then "till-a" got at most 2 requests from 0.5 s to <seconds> s after its first answer
+    And the callers got 200 each time
+
+    Examples:
+      | path      | seconds |
+      | /charge/1 | 2       |
+      | /lookup/1 | 2       |
+      | /lookup/1 | 2.6     |
+      | /charge/1 | 60      |
+
+  Scenario: An upstream that turned requests away is never used again
+    Given the replica "till-a" turns requests away for 1 s
+    When callers send 40 requests a second to "/charge/1" for 3 s
+    Then "till-a" got a request later than 1 s after its first answer
+
+  Scenario: All upstreams turn requests away
+    Given each replica turns requests away for 2 s
+    When callers send 40 requests a second to "/charge/1" for 2 s
+    Then each replica got at most 2 requests from 0.5 s on
+    And the callers got 503 each time, with a time to wait
+
+  Scenario Outline: An answer names no readable time to wait
+    Given the replica "till-a" turns requests away once for "<text>" s
+    When callers send 40 requests a second to "/charge/1" for 2 s
+    Then "till-a" got a request later than 0.1 s after its first answer
+
+    Examples:
+      | text                          |
+      | soon                          |
+      | -5                            |
+      | nan                           |
+      | inf                           |
+      | 1e400                         |
+      | Wed, 21 Oct 2026 07:28:00 GMT |
--- a/src/peridothitch/platform/header_codec.py
+++ b/src/peridothitch/platform/header_codec.py
@@ -26,6 +26,7 @@
 _LOAD = "peridothitch-replica-load"
 _LIMIT = "server-limit"
 _LEAVING = "server-leaving"
+_RETRY_AFTER = "retry-after"
 
 _CONNECTION_FIELDS = frozenset(
     {
@@ -92,6 +93,7 @@
             load=_to_load(value_by_name.get(_LOAD)),
             request_limit=_to_limit(value_by_name.get(_LIMIT)),
             leaving=value_by_name.get(_LEAVING, "").strip() == "1",
+            retry_after=_to_retry_after(value_by_name.get(_RETRY_AFTER)),
         )
 
     def to_upstream(self, fields, outbound):
@@ -182,6 +184,14 @@
     return forwarding.Load(*map(int, numbers))
 
 
+def _to_retry_after(text):
+    """Return a time, None if there is none or it can't be read."""
+    try:
+        return datetime.timedelta(seconds=max(0.0, float(text or "")))
+    except (ValueError, OverflowError):
+        return None
+
+
 def _to_limit(text):
     """Return a limit, infinite if there is none and NaN if it can't be read."""
     if text is None:
--- a/src/peridothitch/ports/forwarding.py
+++ b/src/peridothitch/ports/forwarding.py
@@ -289,6 +289,8 @@
         infinite if it names no limit, NaN if what it names is no such number.
     leaving : bool
         Whether the upstream tells that it leaves.
+    retry_after : datetime.timedelta or None
+        Time in which an upstream that refuses wants no request from this entry host.
     """
 
     request_id: str = ""
@@ -298,6 +300,7 @@
     load: Load | None = None
     request_limit: float = math.inf
     leaving: bool = False
+    retry_after: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
