--- a/features/part_fleet.py
+++ b/features/part_fleet.py
@@ -26,7 +26,8 @@
     """What happens to the fleet; times are seconds, rates a second.
 
     `bad_share` is the share of the requests that have a bad part, each of them one of
-    `bad_parts`; `power_loss_at` is when all entry hosts start anew.
+    `bad_parts`; `power_loss_at` is when all entry hosts start anew, `restore_at` when
+    the store comes back from a copy without a record.
     """
 
     bad_parts: tuple = ("bad-1",)
@@ -37,6 +38,7 @@
     kill_interval: float | None = None
     cuts: bool = False
     power_loss_at: float | None = None
+    restore_at: float | None = None
     has_random_parts: bool = False
     duration: float = 40.0
 
@@ -241,6 +243,8 @@
                 self._at(interval, self._repeat, interval, action)
         if load.power_loss_at is not None:
             self._at(load.power_loss_at, self._lose_power)
+        if load.restore_at is not None:
+            self._at(load.restore_at, self._restore_store)
         while self._events and self._events[0][0] <= load.duration:
             self.clock.seconds, _, action, arguments = heapq.heappop(self._events)
             action(*arguments)
@@ -341,6 +345,9 @@
         host.cut_until = self.clock.seconds + self._random.uniform(1.0, 6.0)
         host.in_touch_from = host.cut_until + CONTACT_SECONDS
 
+    def _restore_store(self):
+        self.stored = (self.stored[0] + 1, part_records.PartRecord())
+
     def _lose_power(self):
         for chosen in self._upstreams:
             chosen.running = {}
--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -23,6 +23,8 @@
       | entry hosts killed                   | 12    |
       | entry hosts cut off                  | 12    |
       | a loss of power of all entry hosts   | 12    |
+      | a lost record, then a loss of power  | 12    |
+      | a lost record, all who knew killed, then a loss of power | 12 |
       | prompts made of random parts         | 12    |
 
   Scenario: Evidence about prompts made of random parts grows without bound
--- a/features/steps/prompt_parts_steps.py
+++ b/features/steps/prompt_parts_steps.py
@@ -76,6 +76,12 @@
     "entry hosts killed": {"kill_interval": 1.0},
     "entry hosts cut off": {"cuts": True},
     "a loss of power of all entry hosts": {"power_loss_at": 6.0},
+    "a lost record, then a loss of power": {"restore_at": 10.0, "power_loss_at": 12.0},
+    "a lost record, all who knew killed, then a loss of power": {
+        "kill_interval": 0.7,
+        "restore_at": 20.0,
+        "power_loss_at": 22.0,
+    },
     "prompts made of random parts": {"has_random_parts": True, "crash_interval": 3.0},
 }
 
