Split the adoption of newer keys and of retained ones in the mirror

Found on reading the change as a newcomer: one method had two paths that shared half of their lines.

--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -302,30 +302,32 @@
     def _replace(self, found_by_key, revision, source, changed_at=None):
         with self._lock:
             era = store.era_of(revision)
-            is_newer = revision > self.revision
-            if is_newer:
-                at = self._clock.monotonic() if changed_at is None else changed_at
-                if self.is_loaded and era > store.era_of(self.revision):
-                    self._record_restore(revision, at)
-            else:
+            if revision <= self.revision:
                 self._count_dropped(revision, source)
-                if era != store.era_of(self.revision):
-                    return False
-                # Another host may hold what the store has lost.
-                retained = mirror_eras.retained_items(found_by_key, era)
-                if not retained:
-                    return False
-                found_by_key, revision = self._item_by_key | retained, self.revision
-                at = self._clock.monotonic()
-            before = self._item_by_key
-            self._item_by_key = mirror_eras.join(
-                before, found_by_key, era, self._era_rule
-            )
+                return self._adopt_retained(found_by_key, era, source)
+            at = self._clock.monotonic() if changed_at is None else changed_at
+            if self.is_loaded and era > store.era_of(self.revision):
+                self._record_restore(revision, at)
             self.revision = revision
-            has_changes = _revisions(self._item_by_key) != _revisions(before)
-            if has_changes or not self._digest:
-                self._notify_subscribers(source, at)
-            return is_newer or has_changes
+            self._join(found_by_key, source, at)
+            return True
+
+    def _adopt_retained(self, found_by_key, era, source):
+        """Adopt what another host holds though the store has lost it."""
+        if era != store.era_of(self.revision):
+            return False
+        retained = mirror_eras.retained_items(found_by_key, era)
+        found_by_key = self._item_by_key | retained
+        return self._join(found_by_key, source, self._clock.monotonic())
+
+    def _join(self, found_by_key, source, changed_at):
+        """Join newer keys with those held; returns whether any has changed."""
+        before, era = self._item_by_key, store.era_of(self.revision)
+        self._item_by_key = mirror_eras.join(before, found_by_key, era, self._era_rule)
+        has_changes = _revisions(self._item_by_key) != _revisions(before)
+        if has_changes or not self._digest:
+            self._notify_subscribers(source, changed_at)
+        return has_changes
 
     def _record_restore(self, revision, at):
         """Record that the store has come back from an older copy of itself."""
