Keep the counts of windows that a holder read from the store as well

Found on reading the change once more: a holder kept the counts that it wrote, not those that it found.

The new scenario of features/usage_progress.feature failed before: 120, 120 and then 2 requests of a customer.

--- a/features/steps/usage_progress_steps.py
+++ b/features/steps/usage_progress_steps.py
@@ -180,8 +180,16 @@
     "it is reported, the store loses its counts, and more requests become known"
 )
 def report_and_lose(context):
+    _report(context)
+    _lose_counts(context)
+
+
+def _report(context):
     context.holder.run(context.clock, 1)
     assert [r.window for r in context.platform.reports][-1] == context.window
+
+
+def _lose_counts(context):
     key = f"/peridothitch/usage-windows/{context.window}"
     assert context.store.get(key) is not None
     context.store.transact([], [store.Delete(key), store.Delete(_KEY)])
@@ -190,6 +198,27 @@
     ]
 
 
+@behave.when(
+    "it is reported, the holder dies, and a successor takes over in the same era"
+)
+def report_and_die(context):
+    _report(context)
+    context.holder = _Process(context, "edge-2", store.in_era(1, 9))
+    context.holder.see_holder(store.in_era(1, 7))
+    context.holder.see_holder(store.in_era(1, 9))
+    context.holder.run(context.clock, 0.5)
+
+
+@behave.when(
+    "the store loses its counts, and the successor takes over again in a later era"
+)
+def lose_and_take_over(context):
+    _lose_counts(context)
+    context.holder.receive(context.late_counts)
+    context.holder.take_over(store.in_era(2, 8))
+    context.holder.run(context.clock, 4)
+
+
 @behave.when("the same process takes over the duties again")
 def take_over_again(context):
     context.holder.receive(context.late_counts)
--- a/features/usage_progress.feature
+++ b/features/usage_progress.feature
@@ -37,6 +37,14 @@
     Then the next window is reported as usual
     And the window was reported once
 
+  Scenario: A window that a dead holder reported is counted again by its successor
+    Given 3 entry hosts that counted requests in a window
+    And the holder has taken over the duties in the first era
+    And the window ended 2.5 seconds ago
+    When it is reported, the holder dies, and a successor takes over in the same era
+    And the store loses its counts, and the successor takes over again in a later era
+    Then every report of the window has the same counts
+
   Scenario: A window is left out though its last holder tells that it did not report it
     Given 3 entry hosts that counted requests in a window
     And the holder has taken over the duties in the first era
--- a/src/peridothitch/gateway/forwarding/usage_duty.py
+++ b/src/peridothitch/gateway/forwarding/usage_duty.py
@@ -99,6 +99,8 @@
 
     def _begin_term(self, fencing_number):
         self._counts_by_window = self._read_counts()
+        for window, counts in sorted(self._counts_by_window.items()):
+            self._record_final(window, counts)
         self._progress.restore()
         era = store.era_of(fencing_number)
         self._last_lost_window = 0
@@ -213,8 +215,12 @@
                 raise errors.StoreUnavailableError(f"{key} was not written")
             value = item.value
         self._counts_by_window[window] = _decode(value)
-        if self._counts_by_window[window] is not None:
-            self._final.record_own(window, self._counts_by_window[window])
+        self._record_final(window, self._counts_by_window[window])
+
+    def _record_final(self, window, counts):
+        """Keep a window's counts for a store that loses them, unless it has none."""
+        if counts is not None:
+            self._final.record_own(window, counts)
 
     def _read_counts(self):
         stored = self._store.range(_PREFIX)
