--- a/features/steps/store_silence_steps.py
+++ b/features/steps/store_silence_steps.py
@@ -44,10 +44,20 @@
 
 @behave.when("{seconds:g} seconds pass for the fleet")
 def let_pass(context, seconds):
+    context.polls_before = [fleet.poll_count for fleet in context.fleets]
     for fleet in context.fleets:
         fleet.run(seconds)
 
 
+@behave.then("its watches have made at most {calls:d} calls in these seconds")
+def check_calls(context, calls):
+    counts = [
+        fleet.poll_count - before
+        for fleet, before in zip(context.fleets, context.polls_before, strict=True)
+    ]
+    assert max(counts) <= calls, counts
+
+
 @behave.then("all hosts of the fleet have the rules")
 def check_rules(context):
     outdated = [fleet.outdated_host_ids() for fleet in context.fleets]
--- a/features/store_silence.feature
+++ b/features/store_silence.feature
@@ -26,6 +26,17 @@
       | 195   | 6            |
       | 380   | 4            |
 
+  Scenario Outline: The calls to the store grow with the number of hosts
+    Given <hosts> hosts in <data_centres> data centres that watch the store
+    When 10 seconds pass for the fleet
+    Then its watches have made at most <calls> calls in these seconds
+
+    Examples:
+      | hosts | data_centres | calls |
+      | 7     | 3            | 100   |
+      | 195   | 6            | 100   |
+      | 380   | 4            | 134   |
+
   Scenario: Silences that came before delay the next change
     Given 1 hosts in 1 data centres that watch the store
     When the store is silent for 0.5 seconds 8 times in a row
