Tell connections that were refused from those that hung, and how many upstreams rest

It now says how many live upstreams of the service rest, the counter upstream_rests carries the reason, and upstream_connect_failures tells refused connections from hung ones. No decision changes.

--- a/src/peridothitch/adapters/raw_transport.py
+++ b/src/peridothitch/adapters/raw_transport.py
@@ -142,6 +142,11 @@
                 raise TimeoutError("the deadline has passed")
             sock = sockets.connect(host.address, min(remaining, _CONNECT_TIMEOUT))
         except OSError as error:
+            self._metrics.count(
+                "upstream_connect_failures",
+                service=host.service,
+                reason="timeout" if isinstance(error, TimeoutError) else "refused",
+            )
             raise errors.UpstreamError(
                 errors.Code.UPSTREAM_REFUSED,
                 f"{host.host_id}: connect: {error!r}",
--- a/src/peridothitch/gateway/forwarding/upstream_pool.py
+++ b/src/peridothitch/gateway/forwarding/upstream_pool.py
@@ -123,10 +123,8 @@
         with self._lock:
             live = [
                 entry
-                for host_id, entry in self._entry_by_id.items()
-                if entry.host.service == service
-                and entry.host.state is upstream.HostState.LIVE
-                and host_id not in excluded
+                for entry in self._live_entries(service)
+                if entry.host.host_id not in excluded
                 and (versions is None or entry.host.version in versions)
                 and self._notices.may_send(entry.host)
                 and self._limits.may_send(entry.host)
@@ -145,14 +143,20 @@
             self._limits.spend(chosen)
             return chosen, estimate
 
+    def _live_entries(self, service):
+        return [
+            entry
+            for entry in self._entry_by_id.values()
+            if entry.host.service == service
+            and entry.host.state is upstream.HostState.LIVE
+        ]
+
     def is_limited(self, service):
         """Return whether a live upstream of a service has named a limit."""
         with self._lock:
             return any(
-                entry.host.service == service
-                and entry.host.state is upstream.HostState.LIVE
-                and self._limits.is_limited(entry.host)
-                for entry in self._entry_by_id.values()
+                self._limits.is_limited(entry.host)
+                for entry in self._live_entries(service)
             )
 
     def _state(self, entry, need, now):
@@ -256,9 +260,16 @@
                 return
             entry.cooldown = entry.cooldown.after_failure(now)
             duration = (entry.cooldown.until - now) / datetime.timedelta(milliseconds=1)
-        self._metrics.count("upstream_rests", service=host.service)
+            live = self._live_entries(host.service)
+            resting_count = sum(other.cooldown.is_active(now) for other in live)
+        self._metrics.count("upstream_rests", service=host.service, reason=reason)
         _log.info(
-            "upstream rests", host_id=host.host_id, reason=reason, ms=int(duration)
+            "upstream rests",
+            host_id=host.host_id,
+            reason=reason,
+            ms=int(duration),
+            resting=resting_count,
+            live=len(live),
         )
 
     def end_request(self, host, uncached_tokens, has_begun):
