--- a/features/forwarding_bench.py
+++ b/features/forwarding_bench.py
@@ -7,6 +7,8 @@
 import socket
 import time
 
+import host_links
+
 from peridothitch.adapters import boot_clock, wsgi_server
 from peridothitch.cli import forward
 from peridothitch.gateway.forwarding import entry_host
@@ -169,13 +171,23 @@
         """Write the operators' configuration."""
         return self.store.put("op/config", configuration(**options))
 
-    def start_host(self, host_id="edge-1", wait=True, bounds=OPERATING_BOUNDS):
-        """Start an entry host; returns it once it is ready."""
+    def start_host(
+        self,
+        host_id="edge-1",
+        wait=True,
+        bounds=OPERATING_BOUNDS,
+        data_centre="lothian-a",
+        links=None,
+    ):
+        """Start an entry host; returns it once it is ready.
+
+        `links`, if given, are its `host_links.HostLinks` to the replicas.
+        """
         seeds = tuple(host.peers_address for host in self.hosts)
         settings = entry_settings.EntryHostSettings(
             host_id=host_id,
-            data_centre="lothian-a",
-            region="lothian",
+            data_centre=data_centre,
+            region=REGION_BY_DATA_CENTRE[data_centre],
             region_by_data_centre=REGION_BY_DATA_CENTRE,
             callers_address="127.0.0.1:0",
             ready_address="127.0.0.1:0",
@@ -189,6 +201,11 @@
         )
         clock = boot_clock.BootClock()
         platform = forward.make_platform(settings, clock)
+        if links is not None:
+            platform.record_codec = host_links.LinkedRecordCodec(
+                platform.record_codec, links
+            )
+            self._stack.callback(links.close)
         self.store_by_host_id[host_id] = platform.store
         host = entry_host.ForwardingHost(settings, platform, clock)
         host.start()
