Send requests through another entry host where the path to the upstreams is lost

The host stayed ready, as it must, since open connections stay with it, and its own connections were the only way to an upstream; each request tried one after the other.

A failed connection doesn't tell whether the upstream is gone or the path to it. Another entry host tells: where two upstreams of a service take no connections, the call goes through a peer, which sends it over its own connection, once and never further. If that works, the path is lost, and later calls go that way until probes have connected for a while (0.5 s, doubled with each loss up to 8 s). Services that answer nothing for half a second while calls wait are probed. The sender still decides, counts and repeats; the caller's leaving closes the connection to the peer, which cancels the upstream's work. Times that were lost on other paths no longer count as an upstream's slowness: requests were refused with 2001 for it.

Ruled out: not being ready (kept connections stay, a whole data centre is cut), and handing the whole request to a peer (two hosts would count quotas, repeats and shares).

--- a/features/forwarding_bench.py
+++ b/features/forwarding_bench.py
@@ -198,6 +198,7 @@
             reports_usage=True,
             orders_capacity=True,
             bounds=bounds,
+            helper_address="127.0.0.1:0",
         )
         clock = boot_clock.BootClock()
         platform = forward.make_platform(settings, clock)
--- a/features/lost_paths.feature
+++ b/features/lost_paths.feature
@@ -5,9 +5,9 @@
     And the entry hosts "edge-1, edge-2, edge-3" with links of their own
     And callers have used all routes of "edge-1"
     When the links of "edge-1" to all upstreams <way>
-    And callers send 20 requests a second to "edge-1" for 5 s
+    And callers send 20 requests a second of all routes to "edge-1" for 5 s
     Then from 3 s on the callers got 200 each time
-    And no request ran twice
+    And no request that may run only once ran twice
 
     Examples:
       | way    |
@@ -21,6 +21,6 @@
     And the entry host "edge-3" of "fife-a" with links of its own
     And callers have used all routes of "edge-1"
     When the links of "edge-1, edge-2" to all upstreams hang
-    And callers send 20 requests a second to "edge-1" for 5 s
+    And callers send 20 requests a second of all routes to "edge-1" for 5 s
     Then from 3 s on the callers got 200 each time
-    And no request ran twice
+    And no request that may run only once ran twice
--- a/features/steps/lost_paths_steps.py
+++ b/features/steps/lost_paths_steps.py
@@ -9,6 +9,7 @@
 import host_links
 
 _PATHS = ("/charge/1", "/lookup/1", "/helper/1", "/planner/1")
+_UNREPEATABLE_PATHS = ("/charge/1", "/planner/1")
 _WARM_UP_COUNT = 4
 
 
@@ -77,7 +78,10 @@
         context.links_by_id[host_id].cut(way)
 
 
-@behave.when('callers send {rate:d} requests a second to "{host_id}" for {seconds:d} s')
+@behave.when(
+    "callers send {rate:d} requests a second of all routes"
+    ' to "{host_id}" for {seconds:d} s'
+)
 def send(context, rate, host_id, seconds):
     context.sent, threads = [], []
     began = time.monotonic()
@@ -102,7 +106,7 @@
 def _outcome(sent):
     if sent.response is None:
         return sent.path, "closed"
-    return sent.path, sent.response.status, sent.response.complete
+    return sent.path, sent.response.status, sent.response.body[-200:]
 
 
 @behave.then("from {seconds:d} s on the callers got 200 each time")
@@ -116,3 +120,14 @@
         or not sent.response.complete
     ]
     assert late and not failed, f"{len(failed)} of {len(late)} failed: {failed[:8]}"
+
+
+@behave.then("no request that may run only once ran twice")
+def check_unrepeated(context):
+    once_ids = {
+        request.value("Peridothitch-Attempt-Id")
+        for request in context.bench.received_requests()
+        if request.target in _UNREPEATABLE_PATHS
+    }
+    repeated = [name for name in once_ids if context.bench.run_count(name) > 1]
+    assert once_ids and not repeated, repeated
--- a/src/peridothitch/adapters/raw_transport.py
+++ b/src/peridothitch/adapters/raw_transport.py
@@ -90,6 +90,11 @@
         self._header_codec = header_codec
         self._metrics = metrics
         self._pool = _Pool()
+        self._record_connection = _ignore
+
+    def observe_connections(self, callback):
+        """Call ``callback(host, is_open)`` after each attempt to open a connection."""
+        self._record_connection = callback
 
     def open(self, host, call, on_cancel):
         """Send `call` on an idle or a new connection and read the head."""
@@ -121,12 +126,28 @@
                 connection.close()
             if len(dead) < len(idle):
                 return False
+        return not self._try_connecting(host, _DOWN_CHECK_TIMEOUT)
+
+    def probe(self, host):
+        """Return whether a connection to an upstream can be opened."""
+        return self._try_connecting(host, _CONNECT_TIMEOUT)
+
+    def _try_connecting(self, host, timeout):
         try:
-            sock = sockets.connect(host.address, _DOWN_CHECK_TIMEOUT)
-        except OSError:
-            return True
+            sock = sockets.connect(host.address, timeout)
+        except OSError as error:
+            self._record_failure(host, error)
+            return False
+        self._record_connection(host, True)
         sock.close()
-        return False
+        return True
+
+    def _record_failure(self, host, error):
+        if isinstance(error, TimeoutError):
+            # Idle connections to an upstream that is out of reach would hang, too.
+            for connection in self._pool.pop_all(_pool_key(host)):
+                connection.close()
+        self._record_connection(host, False)
 
     def retain_connections(self, hosts):
         """Close the idle connections to all but the given hosts."""
@@ -137,11 +158,14 @@
 
     def _connect(self, host, call):
         remaining = call.deadline - self._clock.monotonic()
+        timeout = min(remaining, _CONNECT_TIMEOUT)
         try:
             if remaining <= _NO_TIME:
                 raise TimeoutError("the deadline has passed")
-            sock = sockets.connect(host.address, min(remaining, _CONNECT_TIMEOUT))
+            sock = sockets.connect(host.address, timeout)
         except OSError as error:
+            if timeout >= _DOWN_CHECK_TIMEOUT or not isinstance(error, TimeoutError):
+                self._record_failure(host, error)
             self._metrics.count(
                 "upstream_connect_failures",
                 service=host.service,
@@ -152,6 +176,7 @@
                 f"{host.host_id}: connect: {error!r}",
                 errors.Ran.NO,
             ) from None
+        self._record_connection(host, True)
         self._metrics.count("upstream_connections", service=host.service)
         return _Connection(sock, self._clock)
 
@@ -167,6 +192,10 @@
         connection.sock.sendall(head + call.body)
 
 
+def _ignore(host, is_open):
+    pass
+
+
 def _pool_key(host):
     return host.address, host.host_id, host.incarnation
 
--- a/src/peridothitch/coordination/member_records.py
+++ b/src/peridothitch/coordination/member_records.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from peridothitch.ports import facts
+from peridothitch.ports import facts, peers
 
 __all__ = [
     "MEMBER_KIND",
@@ -34,10 +34,28 @@
 
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Address and data centre of a member."""
+    """Addresses and data centre of a member.
+
+    Hosts of versions that do not pass on calls send no `helper_address`.
+    """
 
     address: str
     data_centre: str
+    helper_address: str = ""
+
+    @classmethod
+    def of(cls, peer):
+        """Return the record of a `peridothitch.ports.peers.Peer`."""
+        return cls(peer.address, peer.data_centre, peer.helper_address)
+
+    def to_peer(self, host_id):
+        """Return the `peridothitch.ports.peers.Peer` that the record describes."""
+        return peers.Peer(
+            host_id=host_id,
+            address=self.address,
+            data_centre=self.data_centre,
+            helper_address=self.helper_address,
+        )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/peridothitch/coordination/membership.py
+++ b/src/peridothitch/coordination/membership.py
@@ -344,8 +344,7 @@
         )
 
     def _record(self):
-        record = records.MemberRecord(self._peer.address, self._peer.data_centre)
-        return msgspec.msgpack.encode(record)
+        return msgspec.msgpack.encode(records.MemberRecord.of(self._peer))
 
     def _on_member_record(self, fact):
         incarnation, state = records.split_sequence(fact.sequence)
@@ -363,11 +362,7 @@
                 return
             was_known = fact.key in self._peer_by_id
             if state in (records.State.ALIVE, records.State.SUSPECT):
-                self._peer_by_id[fact.key] = peers.Peer(
-                    host_id=fact.key,
-                    address=record.address,
-                    data_centre=record.data_centre,
-                )
+                self._peer_by_id[fact.key] = record.to_peer(fact.key)
                 self._addresses.remove_departed(fact.key)
             else:
                 self._peer_by_id.pop(fact.key, None)
--- a/src/peridothitch/gateway/forwarding/attempt.py
+++ b/src/peridothitch/gateway/forwarding/attempt.py
@@ -77,7 +77,7 @@
         if self._has_begun:
             return
         self._has_begun = True
-        self._first_byte = self._deps.clock.monotonic() - self.sent_at
+        self._first_byte = self._upstream_time()
         self._deps.upstreams.record_first_byte(
             self.host,
             self._uncached_tokens,
@@ -98,6 +98,19 @@
         """Seconds since the request was sent."""
         return (self._deps.clock.monotonic() - self.sent_at).total_seconds()
 
+    @property
+    def first_byte(self):
+        """Time that the upstream took until the answer began, None before that."""
+        return self._first_byte
+
+    def _upstream_time(self):
+        """Return the time since the request was sent on the path that was answered.
+
+        Paths that were tried before say nothing about the upstream.
+        """
+        sent_at = self.answer.sent_at if self.answer is not None else None
+        return self._deps.clock.monotonic() - (sent_at or self.sent_at)
+
     def record_events(self, count):
         """Add to the number of events received on a stream."""
         self._event_count += count
@@ -139,7 +152,7 @@
             data_centre=host.data_centre,
             ended=self._deps.moves.now(),
             first_byte=self._first_byte,
-            duration=self._deps.clock.monotonic() - self.sent_at,
+            duration=self._upstream_time(),
             status=self.answer.status if self.answer is not None else 0,
             code=code,
             ran=ran,
--- a/src/peridothitch/gateway/forwarding/delivery.py
+++ b/src/peridothitch/gateway/forwarding/delivery.py
@@ -84,7 +84,6 @@
 def _forward_body(deps, job, sender, response_writer, attempt):
     answer = attempt.answer
     attempt.record_first_byte()
-    received = deps.clock.monotonic()
     sender.record_start(attempt.sent_at)
     body = bytearray()
     head = _head(deps, answer)
@@ -104,8 +103,7 @@
     response_writer.end()
     attempt.complete()
     if not job.need.prompt_tokens:
-        seconds = (received - attempt.sent_at).total_seconds()
-        deps.upstreams.record_work(job.service, seconds)
+        deps.upstreams.record_work(job.service, attempt.first_byte.total_seconds())
     return head[0]
 
 
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -7,7 +7,7 @@
 
 import logbook
 
-from peridothitch.adapters import metrics, raw_server, raw_transport, status_pages
+from peridothitch.adapters import metrics, raw_server, status_pages
 from peridothitch.coordination import lease
 from peridothitch.gateway import loops, peer_links, quarantine
 from peridothitch.gateway.forwarding import (
@@ -21,9 +21,10 @@
     fleet_record,
     fleet_reports,
     handler,
-    move_records,
+    helper_server,
     part_guard,
     part_records,
+    path_links,
     peer_sync,
     quota_limiter,
     retry_budgets,
@@ -83,11 +84,16 @@
         self.metrics = metrics.Metrics()
         self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
         store = platform.store
+        self._helper_server = helper_server.HelperServer(
+            platform.header_codec, settings.helper_address, clock, self.metrics
+        )
         self._fleet = peer_links.make_link(
             settings.host_id,
             settings.data_centre,
             peer_links.FleetSettings(
-                listen=settings.peers_address, seeds=settings.seed_addresses
+                listen=settings.peers_address,
+                seeds=settings.seed_addresses,
+                helper_address=self._helper_server.address,
             ),
             store,
             clock,
@@ -137,7 +143,15 @@
         self._limits = upstream_limits.UpstreamLimits(
             peers, self._fleet.facts, self._shared_clock, self.metrics
         )
-        self._move_records, self._moves = self._make_moves()
+        self._move_records, self._moves = version_moves.make_moves(
+            self.catalogue,
+            platform,
+            leases,
+            self._fleet,
+            self._crash_guard,
+            self._shared_clock,
+            self.metrics,
+        )
         self._duty_runner = duty_runner.DutyRunner(
             self._lease,
             settings.bounds.lease_time,
@@ -150,14 +164,14 @@
         self._upstreams = upstream_pool.UpstreamPool(
             settings, clock, self.metrics, self._limits
         )
-        self._transport = raw_transport.HttpRawTransport(
-            clock, platform.header_codec, self.metrics
+        self._paths = path_links.make_paths(
+            settings, platform.header_codec, peers, clock, self.metrics
         )
         self._part_guard = part_guard.PartGuard(
             settings.host_id,
             self._fleet.facts,
             part_records.PartRecords(store, leases),
-            self._transport.is_down,
+            self._paths.is_down,
             self._shared_clock,
             self.metrics,
         )
@@ -174,11 +188,8 @@
         )
         self.catalogue.subscribe(self._apply_table, self._apply_hosts)
         pages = status_pages.StatusPages(self.is_ready, self.metrics)
-        self._status_servers = [
-            pages.make_server(address)
-            for address in (settings.ready_address, metrics_address)
-            if address
-        ]
+        addresses = filter(None, (settings.ready_address, metrics_address))
+        self._status_servers = [pages.make_server(address) for address in addresses]
         self._background = concurrent.futures.ThreadPoolExecutor(
             _BACKGROUND_THREADS, thread_name_prefix="background"
         )
@@ -198,7 +209,7 @@
         return attempt.AttemptDependencies(
             upstreams=self._upstreams,
             limits=self._limits,
-            transport=self._transport,
+            transport=self._paths,
             header_codec=self._platform.header_codec,
             budgets=self._budgets,
             crash_guard=self._crash_guard,
@@ -209,21 +220,6 @@
             metrics=self.metrics,
         )
 
-    def _make_moves(self):
-        records = move_records.MoveRecords(
-            self._platform.store, self._leases, self._platform.record_codec
-        )
-        moves = version_moves.VersionMoves(
-            self.catalogue,
-            records,
-            self._fleet.peers,
-            self._fleet.facts,
-            self._crash_guard,
-            self._shared_clock,
-            self.metrics,
-        )
-        return records, moves
-
     def _make_duties(self):
         return duty_factory.make_duties(
             duty_factory.DutyDependencies(
@@ -275,12 +271,14 @@
         # Loops that start at the same time share a slow core for a second or more.
         self._ready = True
         self._fleet.start(runner)
+        self._helper_server.start(self._upstreams, self._paths)
         for run in (
             self._sync.run,
             self._reports.run,
             self._duty_runner.run,
             self._duty_runner.run_duties,
             self._moves.run,
+            self._paths.run,
             self._part_guard.run,
             self._part_guard.run_saves,
             self._tidy,
@@ -314,6 +312,7 @@
         _log.info("draining", active=self._handler.active)
         ends_at = began + self._settings.bounds.grace_period * _DRAIN_SHARE
         self._server.drain()
+        self._helper_server.drain()
         self._handler.drain(ends_at)
         self._duty_runner.resign()
         while not self._may_stop(began, ends_at):
@@ -326,6 +325,8 @@
         self._stop.set()
         self._platform.store.close()
         self._server.close()
+        self._helper_server.close()
+        self._paths.close()
         for server in self._status_servers:
             server.close()
         self._quotas.close()
@@ -336,7 +337,9 @@
     def _may_stop(self, began, ends_at):
         now = self._clock.monotonic()
         return now >= ends_at or admission.may_stop(
-            now - began, now - self._handler.last_arrival, self._handler.active
+            now - began,
+            now - self._handler.last_arrival,
+            self._handler.active + self._helper_server.active,
         )
 
     def reload(self, settings):
@@ -355,11 +358,12 @@
 
     def _apply_table(self, table):
         self._server.set_limits(table.limits)
+        self._helper_server.set_limits(table.limits)
         self._quotas.update_table(table)
 
     def _apply_hosts(self, host_by_id):
         self._upstreams.update(host_by_id, self.catalogue.hosts_revision)
-        self._transport.retain_connections(host_by_id.values())
+        self._paths.retain_connections(host_by_id.values())
 
     def _count_hosts(self):
         """Return the number of entry hosts that share quotas, at least 1."""
--- a/src/peridothitch/gateway/forwarding/upstream_pool.py
+++ b/src/peridothitch/gateway/forwarding/upstream_pool.py
@@ -192,6 +192,24 @@
                 return False
             return entry.host.state is upstream.HostState.LIVE
 
+    def find_usable(self, host_id, incarnation):
+        """Return the live upstream of an id and incarnation that takes requests.
+
+        Returns
+        -------
+        peridothitch.ports.upstream.Host or None
+        """
+        with self._lock:
+            entry = self._entry_by_id.get(host_id)
+            if (
+                entry is None
+                or entry.host.incarnation != incarnation
+                or entry.host.state is not upstream.HostState.LIVE
+                or not self._notices.may_send(entry.host)
+            ):
+                return None
+            return entry.host
+
     def record_notice(self, host, status, metadata):
         """Record what an answer's head says of the upstream, such as that it leaves."""
         self._notices.record(host, status, metadata)
--- a/src/peridothitch/gateway/forwarding/version_moves.py
+++ b/src/peridothitch/gateway/forwarding/version_moves.py
@@ -14,10 +14,11 @@
 
 from peridothitch import errors
 from peridothitch.gateway import active_move, move_evidence
+from peridothitch.gateway.forwarding import move_records
 from peridothitch.policy import evidence_counter, moves
 from peridothitch.ports import record_codec, upstream
 
-__all__ = ["VersionMoves"]
+__all__ = ["VersionMoves", "make_moves"]
 
 _TICK_PERIOD = datetime.timedelta(milliseconds=500)
 _MIN_PUBLISH_INTERVAL = datetime.timedelta(seconds=2)
@@ -272,3 +273,22 @@
         if active.condemnation is None and not self._evidence.has_all_evidence(active):
             return None
         return active.summarize_evidence([route.name for route in self.routes(service)])
+
+
+def make_moves(catalogue, platform, leases, fleet, crash_guard, clock, metrics):
+    """Return the records of the moves and the `VersionMoves` of an entry host.
+
+    Parameters
+    ----------
+    catalogue : peridothitch.gateway.forwarding.catalogue.Catalogue
+    platform : peridothitch.gateway.forwarding.platform_adapters.Platform
+    leases : peridothitch.coordination.mirror.Mirror
+    fleet : peridothitch.gateway.peer_links.FleetLink
+    crash_guard, clock, metrics
+        See `VersionMoves`.
+    """
+    records = move_records.MoveRecords(platform.store, leases, platform.record_codec)
+    moves_of_host = VersionMoves(
+        catalogue, records, fleet.peers, fleet.facts, crash_guard, clock, metrics
+    )
+    return records, moves_of_host
--- a/src/peridothitch/gateway/peer_links.py
+++ b/src/peridothitch/gateway/peer_links.py
@@ -50,11 +50,14 @@
     seeds : tuple of str
         Addresses of other hosts to join through while the store is down.
     tls : peridothitch.adapters.thrift_transport.TlsFiles or None
+    helper_address : str
+        Where this host passes on other hosts' calls to upstreams; empty for none.
     """
 
     listen: str = ""
     seeds: tuple = ()
     tls: thrift_transport.TlsFiles | None = None
+    helper_address: str = ""
 
 
 class SingleHostLink:
@@ -108,7 +111,10 @@
             host_id, settings.listen, metrics, settings.tls
         )
         peer = peers.Peer(
-            host_id=host_id, address=self._transport.address, data_centre=data_centre
+            host_id=host_id,
+            address=self._transport.address,
+            data_centre=data_centre,
+            helper_address=settings.helper_address,
         )
         self._probe_executor = concurrent.futures.ThreadPoolExecutor(
             _PROBE_THREAD_COUNT, thread_name_prefix="peer-probe"
--- a/src/peridothitch/platform/settings.py
+++ b/src/peridothitch/platform/settings.py
@@ -58,6 +58,9 @@
     bounds: _Bounds = _Bounds()
     cloud_api: _Duties = _Duties()
     seed_nodes: list[str] = []
+    ip: str = ""
+    # The first and the last port that are free for calls between entry hosts.
+    internal_ports: list[int] = []
 
 
 def read(path):
@@ -98,9 +101,16 @@
         reports_usage="usage_report" in settings.cloud_api.duties,
         orders_capacity="autoscale" in settings.cloud_api.duties,
         bounds=_to_bounds(settings.bounds),
+        helper_address=_helper_address(settings),
     )
 
 
+def _helper_address(settings):
+    if not settings.ip or not settings.internal_ports:
+        return _NO_ADDRESS
+    return f"{settings.ip}:{settings.internal_ports[0]}"
+
+
 def _to_bounds(bounds):
     return entry_settings.OperatingBounds(
         grace_period=bounds.grace_s * _SECOND,
--- a/src/peridothitch/ports/entry_settings.py
+++ b/src/peridothitch/ports/entry_settings.py
@@ -66,6 +66,9 @@
         Address on which the load balancer checks the readiness of this host.
     peers_address : str
         Address on which other entry hosts connect.
+    helper_address : str
+        Address on which other entry hosts have calls to upstreams passed on; empty
+        where none are.
     seed_addresses : tuple of str
         Addresses of a few entry hosts, some of which may be down.
     store_address : str
@@ -89,3 +92,4 @@
     reports_usage: bool
     orders_capacity: bool
     bounds: OperatingBounds
+    helper_address: str = ""
--- a/src/peridothitch/ports/peers.py
+++ b/src/peridothitch/ports/peers.py
@@ -8,11 +8,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Peer:
-    """An entry host as this host's membership view describes it."""
+    """An entry host as this host's membership view describes it.
+
+    Attributes
+    ----------
+    host_id, address, data_centre : str
+    helper_address : str
+        Where the host passes on other hosts' calls to upstreams; empty if it does not.
+    """
 
     host_id: str
     address: str
     data_centre: str
+    helper_address: str = ""
 
 
 class Peers(abc.ABC):
--- a/src/peridothitch/ports/raw.py
+++ b/src/peridothitch/ports/raw.py
@@ -157,6 +157,9 @@
         Metadata in the fields that is meant for entry hosts.
     length : int or None
         Length of the body in bytes, None if it is not known before the end.
+    sent_at : datetime.timedelta or None
+        Monotonic time at which the call was sent on the path by which it was answered;
+        None if no other path was tried before.
     """
 
     status: int
@@ -164,6 +167,7 @@
     fields: tuple
     metadata: object
     length: int | None
+    sent_at: datetime.timedelta | None = None
 
     @abc.abstractmethod
     def set_deadline(self, deadline):
