Answer 502 where another entry host was lost after it had sent a request on

The caller got 503, which promises that the request has not run, though a peer had sent it to an upstream. Errors of unknown outcome now never bear a status that promises it, whatever their code.

The other new scenarios hold the rest of the path through a peer: all hosts cut (503 within 0.6 s), a path that is back, a caller that leaves (the upstream's work ends within 0.5 s), malformed calls between hosts.

--- a/features/lost_paths.feature
+++ b/features/lost_paths.feature
@@ -24,3 +24,65 @@
     And callers send 20 requests a second of all routes to "edge-1" for 5 s
     Then from 3 s on the callers got 200 each time
     And no request that may run only once ran twice
+
+  Scenario: All hosts have lost their paths
+    Given a platform with the replicas "a" and "b" of each service
+    And the entry hosts "edge-1, edge-2" with links of their own
+    And callers have used all routes of "edge-1"
+    When the links of "edge-1, edge-2" to all upstreams hang
+    And callers send 10 requests a second of all routes to "edge-1" for 5 s
+    Then from 3 s on the callers got 503 within 0.6 s each time, with a time to wait
+    And no request that may run only once ran twice
+
+  Scenario Outline: A path that is back is not used again
+    Given a platform with the replicas "a" and "b" of each service
+    And the entry hosts "edge-1, edge-2, edge-3" with links of their own
+    And callers have used all routes of "edge-1"
+    When the links of "edge-1" to all upstreams <way>
+    And callers send 20 requests a second of all routes to "edge-1" for 3 s
+    And the links of "edge-1" are back
+    And callers send 20 requests a second of all routes to "edge-1" for 6 s
+    Then from 4 s on "edge-1" needed no other host
+    And from 0 s on the callers got 200 each time
+
+    Examples:
+      | way   |
+      | hang  |
+      | reset |
+
+  Scenario: A caller leaves a request that runs through another host
+    Given a platform with the replicas "a" and "b" of each service
+    And the entry hosts "edge-1, edge-2" with links of their own
+    And callers have used all routes of "edge-1"
+    And each replica streams 40 events, one each 0.05 s
+    When the links of "edge-1" to all upstreams reset
+    And callers send 20 requests a second of all routes to "edge-1" for 3 s
+    And a caller of "edge-1" leaves a stream after its first event
+    Then the replica's work on it ends within 0.5 s
+
+  Scenario: The helper ends after it has sent a request on
+    Given a platform with the replicas "a" and "b" of each service
+    And the entry hosts "edge-1, edge-2" with links of their own
+    And callers have used all routes of "edge-1"
+    When the links of "edge-1" to all upstreams reset
+    And callers send 20 requests a second of all routes to "edge-1" for 2 s
+    And each replica's next behaviour is "silent"
+    And a caller posts to "/charge/1" of "edge-1" and "edge-2" loses its connections
+    Then the caller gets 502 and the request ran 1 times
+
+  Scenario Outline: A host is asked to pass on a malformed call
+    Given a platform with the replicas "a" and "b" of each service
+    And the entry hosts "edge-1" with links of their own
+    When a process sends "edge-1" a call with the order "<purpose>", "<upstream>", "<wait>"
+    Then the response is <status> with code <code> and no replica got a request
+
+    Examples:
+      | purpose | upstream   | wait | status | code |
+      | send    | nobody/1   | 500  | 503    | 3001 |
+      | send    | till-a     | 500  | 400    | 1001 |
+      | send    | till-a/x   | 500  | 400    | 1001 |
+      | send    | till-a/99  | 500  | 503    | 3001 |
+      | run     | till-a/born | 500  | 400    | 1001 |
+      | send    | till-a/born | soon | 400    | 1001 |
+      | send    | till-a/born | 0    | 502    | 3002 |
+      | check   | nobody/1   | 500  | 503    | 3001 |
--- a/features/steps/lost_paths_steps.py
+++ b/features/steps/lost_paths_steps.py
@@ -1,6 +1,8 @@
 """Steps for entry hosts that have lost the path to their upstreams."""
 
 import dataclasses
+import json
+import socket
 import threading
 import time
 
@@ -10,6 +12,7 @@
 
 _PATHS = ("/charge/1", "/lookup/1", "/helper/1", "/planner/1")
 _UNREPEATABLE_PATHS = ("/charge/1", "/planner/1")
+_CRASH_KINDS = ("crash", "quarantine", "prompt-crash")
 _WARM_UP_COUNT = 4
 
 
@@ -19,6 +22,7 @@
 
     path: str
     after_seconds: float
+    lasted_seconds: float
     response: object
 
 
@@ -84,7 +88,9 @@
 )
 def send(context, rate, host_id, seconds):
     context.sent, threads = [], []
-    began = time.monotonic()
+    context.indirect_counts = []
+    metrics = _host(context, host_id).metrics
+    began = context.began = time.monotonic()
 
     def send_one(path):
         at = time.monotonic() - began
@@ -92,10 +98,12 @@
             response = _request(context, host_id, path)
         except (OSError, benches.http.client.HTTPException):
             response = None
-        context.sent.append(_Sent(path, at, response))
+        lasted = time.monotonic() - began - at
+        context.sent.append(_Sent(path, at, lasted, response))
 
     for number in range(rate * seconds):
         time.sleep(max(0.0, began + number / rate - time.monotonic()))
+        context.indirect_counts.append((number / rate, _indirect_count(metrics)))
         path = _PATHS[number % len(_PATHS)]
         threads.append(threading.Thread(target=send_one, args=(path,), daemon=True))
         threads[-1].start()
@@ -131,3 +139,169 @@
     }
     repeated = [name for name in once_ids if context.bench.run_count(name) > 1]
     assert once_ids and not repeated, repeated
+
+
+@behave.given("each replica streams {count:d} events, one each {gap:g} s")
+def stream_slowly(context, count, gap):
+    for replica in context.bench.replica_by_id.values():
+        replica.event_count, replica.event_gap_seconds = count, gap
+
+
+@behave.when('callers have {count:d} streams of "{host_id}" under way')
+def begin_streams(context, count, host_id):
+    context.observed = []
+    moves = _host(context, host_id)._moves
+    observe = moves.observe
+
+    def record(outcome):
+        context.observed.append((time.monotonic(), outcome))
+        observe(outcome)
+
+    moves.observe = record
+    for _ in range(count):
+        sock = context.bench.connect(_host(context, host_id))
+        context.add_cleanup(sock.close)
+        context.bench.send(sock, "/planner/1")
+        assert sock.recv(1 << 12)
+
+
+@behave.then("no host believes that an upstream has crashed")
+def check_no_crash(context):
+    for host_id, host in context.host_by_id.items():
+        facts = host._fleet.facts
+        found = {kind: facts.facts(kind) for kind in _CRASH_KINDS}
+        assert not any(found.values()), (host_id, found)
+
+
+@behave.then(
+    '"{host_id}" has counted no failure against a version from {seconds:g} s on'
+)
+def check_no_evidence(context, host_id, seconds):
+    since = context.began + seconds
+    failures = [
+        (at - context.began, outcome)
+        for at, outcome in context.observed
+        if at >= since and outcome.code is not None
+    ]
+    assert not failures, failures[:4]
+
+
+@behave.when('the links of "{host_id}" are back')
+def heal(context, host_id):
+    context.links_by_id[host_id].heal()
+
+
+@behave.then(
+    "from {seconds:d} s on the callers got 503 within {limit:g} s each time,"
+    " with a time to wait"
+)
+def check_refused(context, seconds, limit):
+    late = [sent for sent in context.sent if sent.after_seconds >= seconds]
+    wrong = [
+        (_outcome(sent), sent.lasted_seconds)
+        for sent in late
+        if sent.response is None
+        or sent.response.status != 503
+        or not float(sent.response.value("Retry-After") or 0)
+        or sent.lasted_seconds > limit
+    ]
+    assert late and not wrong, f"{len(wrong)} of {len(late)}: {wrong[:4]}"
+
+
+@behave.then('from {seconds:d} s on "{host_id}" needed no other host')
+def check_direct(context, seconds, host_id):
+    metrics = _host(context, host_id).metrics
+    counts = context.indirect_counts
+    used = [
+        (at, count)
+        for at, count in counts
+        if at >= seconds and count > _last_before(counts, seconds)
+    ]
+    assert _indirect_count(metrics) and not used, used[:4]
+
+
+def _last_before(counts, seconds):
+    return max(count for at, count in counts if at < seconds)
+
+
+def _indirect_count(metrics):
+    return sum(
+        metrics.value("indirect_calls", service=service)
+        for service in ("till", "model")
+    )
+
+
+@behave.when('a caller of "{host_id}" leaves a stream after its first event')
+def leave_stream(context, host_id):
+    sock = context.bench.connect(_host(context, host_id))
+    context.request_id = context.bench.send(sock, "/planner/1")
+    received = b""
+    while b"data:" not in received:
+        received += sock.recv(1 << 12)
+    sock.close()
+
+
+@behave.then("the replica's work on it ends within {seconds:g} s")
+def check_cancelled(context, seconds):
+    deadline = time.monotonic() + seconds
+    while not any(
+        context.request_id in replica.cancelled_request_ids
+        for replica in context.bench.replica_by_id.values()
+    ):
+        assert time.monotonic() < deadline, "the replica still works"
+        time.sleep(0.01)
+
+
+@behave.when(
+    'a caller posts to "{path}" of "{host_id}" and "{helper_id}" loses its connections'
+)
+def post_and_lose(context, path, host_id, helper_id):
+    responses = []
+
+    def post():
+        responses.append(_request(context, host_id, path))
+
+    arrived = len(context.bench.received_requests())
+    thread = threading.Thread(target=post, daemon=True)
+    thread.start()
+    benches.wait_until(
+        lambda: len(context.bench.received_requests()) > arrived, "it has arrived"
+    )
+    _host(context, helper_id)._helper_server.close()
+    thread.join(benches.TIMEOUT_SECONDS)
+    (context.response,) = responses
+
+
+@behave.when(
+    'a process sends "{host_id}" a call with the order'
+    ' "{purpose}", "{upstream}", "{wait}"'
+)
+def send_order(context, host_id, purpose, upstream, wait):
+    context.arrived = len(context.bench.received_requests())
+    host = _host(context, host_id)
+    benches.wait_until(lambda: "till-a" in host.catalogue.hosts(), "it is listed")
+    born = host.catalogue.hosts()["till-a"].incarnation
+    upstream = upstream.replace("born", str(born))
+    address = host._helper_server.address
+    ip_address, _, port = address.rpartition(":")
+    lines = [
+        "POST /charge/1 HTTP/1.1",
+        f"Entry-Purpose: {purpose}",
+        f"Entry-Upstream: {upstream}",
+        f"Entry-Wait-Ms: {wait}",
+        "Host: shop.example",
+        "Content-Length: 2",
+    ]
+    with socket.create_connection((ip_address, int(port)), 5) as sock:
+        sock.sendall("\r\n".join([*lines, "", "ok"]).encode())
+        context.response = benches.read_response(sock)
+
+
+@behave.then(
+    "the response is {status:d} with code {code:d} and no replica got a request"
+)
+def check_malformed(context, status, code):
+    assert context.response.status == status, context.response
+    assert json.loads(context.response.body)["code"] == code, context.response
+    assert context.response.value("Entry-Outcome") == "not sent", context.response
+    assert len(context.bench.received_requests()) == context.arrived
--- a/src/peridothitch/gateway/forwarding/retrying_sender.py
+++ b/src/peridothitch/gateway/forwarding/retrying_sender.py
@@ -364,7 +364,7 @@
         code = error.code
         if self._deps.clock.monotonic() >= self._job.deadline:
             code = errors.Code.DEADLINE_EXCEEDED
-        elif code is errors.Code.UPSTREAM_REFUSED:
+        elif code is errors.Code.UPSTREAM_REFUSED or means_not_run(code.status):
             code = errors.Code.OUTCOME_UNKNOWN
         return errors.RequestError(code, error.detail, errors.Ran.UNKNOWN)
 
