Don't fail on the reset of a caller's channel without a socket

The same place as before: after a close the channel has no socket at all. Seen once more, as an AttributeError, in features/lost_paths.feature; callers saw nothing of it.

--- a/src/peridothitch/adapters/raw_server.py
+++ b/src/peridothitch/adapters/raw_server.py
@@ -180,8 +180,11 @@
 
     def reset(self):
         """Make closing the connection send a TCP reset, unless it is closed."""
+        sock = self.socket
+        if sock is None:
+            return
         with contextlib.suppress(OSError):
-            sockets.reset_on_close(self.socket)
+            sockets.reset_on_close(sock)
 
     def received(self, data):
         """Process input from the caller."""
