Blame neither upstreams, requests nor versions for a path that this host has lost

A broken answer is a crash only if no other entry host reaches the upstream; a peer without a path says that it can't tell. Where the path is lost, failures count neither against a version nor as a rest of the upstream. An upstream that crashes on a request through a peer is still reported, since the peers don't reach it either.

--- a/features/lost_paths.feature
+++ b/features/lost_paths.feature
@@ -25,6 +25,33 @@
     Then from 3 s on the callers got 200 each time
     And no request that may run only once ran twice
 
+  Scenario Outline: A host that has lost its path blames upstreams, requests or versions
+    Given a platform with the replicas "a" and "b" of each service
+    And the entry hosts "edge-1, edge-2, edge-3" with links of their own
+    And callers have used all routes of "edge-1"
+    And each replica streams 40 events, one each 0.05 s
+    When callers have 6 streams of "edge-1" under way
+    And the links of "edge-1" to all upstreams <way>
+    And callers send 20 requests a second of all routes to "edge-1" for 4 s
+    Then no host believes that an upstream has crashed
+    And "edge-1" has counted no failure against a version from 1.5 s on
+
+    Examples:
+      | way   |
+      | reset |
+      | hang  |
+
+  Scenario: A crash on a request that runs through another host is not reported
+    Given a platform with the replicas "a" and "b" of each service
+    And the entry hosts "edge-1" with links of their own
+    And the entry hosts "edge-2, edge-3" without links
+    And callers have used all routes of "edge-1"
+    And each replica crashes on the part "bad"
+    When the links of "edge-1" to all upstreams reset
+    And callers send 20 requests a second of all routes to "edge-1" for 2 s
+    And a caller posts a prompt with the part "bad" to "edge-1"
+    Then all hosts know of a crash on the part "bad" within 5 s
+
   Scenario: All hosts have lost their paths
     Given a platform with the replicas "a" and "b" of each service
     And the entry hosts "edge-1, edge-2" with links of their own
--- a/features/steps/lost_paths_steps.py
+++ b/features/steps/lost_paths_steps.py
@@ -42,11 +42,12 @@
         )
 
 
-def _start(context, host_ids, data_centre):
+def _start(context, host_ids, data_centre, has_links=True):
     if not hasattr(context, "host_by_id"):
         context.host_by_id, context.links_by_id = {}, {}
     for host_id in host_ids:
-        links = context.links_by_id[host_id] = host_links.HostLinks()
+        links = host_links.HostLinks() if has_links else None
+        context.links_by_id[host_id] = links
         context.host_by_id[host_id] = context.bench.start_host(
             host_id, data_centre=data_centre, links=links
         )
@@ -58,6 +59,11 @@
     _start(context, _names(host_ids), "lothian-a")
 
 
+@behave.given('the entry hosts "{host_ids}" without links')
+def start_hosts_without_links(context, host_ids):
+    _start(context, _names(host_ids), "lothian-a", has_links=False)
+
+
 @behave.given('the entry host "{host_id}" of "{data_centre}" with links of its own')
 def start_host_of(context, host_id, data_centre):
     _start(context, [host_id], data_centre)
@@ -305,3 +311,31 @@
     assert json.loads(context.response.body)["code"] == code, context.response
     assert context.response.value("Entry-Outcome") == "not sent", context.response
     assert len(context.bench.received_requests()) == context.arrived
+
+
+@behave.given('each replica crashes on the part "{part}"')
+def set_deadly_part(context, part):
+    for replica in context.bench.replica_by_id.values():
+        replica.deadly_parts = frozenset([part])
+
+
+@behave.when('a caller posts a prompt with the part "{part}" to "{host_id}"')
+def post_prompt(context, part, host_id):
+    context.response = context.bench.request(
+        "/planner/1",
+        host=_host(context, host_id),
+        Peridothitch_Prompt_Prefix=f"{part}:100,own:10",
+    )
+    assert context.response.status == 502, context.response
+
+
+@behave.then('all hosts know of a crash on the part "{part}" within {seconds:d} s')
+def check_crash_known(context, part, seconds):
+    deadline = time.monotonic() + seconds
+    for host_id, host in context.host_by_id.items():
+        while not any(
+            part.encode() in fact.value
+            for fact in host._fleet.facts.facts("prompt-crash").values()
+        ):
+            assert time.monotonic() < deadline, f"{host_id} knows of no crash"
+            time.sleep(0.05)
--- a/src/peridothitch/gateway/forwarding/helper_client.py
+++ b/src/peridothitch/gateway/forwarding/helper_client.py
@@ -23,6 +23,10 @@
 _FIRST_BACKOFF = datetime.timedelta(milliseconds=500)
 _LONGEST_BACKOFF = datetime.timedelta(seconds=4)
 _MAX_DOUBLING_COUNT = 3
+_REACHED_BY_OUTCOME = {
+    indirect_calls.Outcome.REACHED: True,
+    indirect_calls.Outcome.NOT_SENT: False,
+}
 _log = logbook.Logger("forwarding")
 
 
@@ -124,7 +128,7 @@
         Returns
         -------
         bool or None
-            None if no entry host has answered.
+            None if no entry host can tell.
         """
         found = None
         for peer in self._choose():
@@ -222,7 +226,7 @@
         )
 
     def _check(self, peer, host):
-        """Return whether a peer reaches an upstream, None if it does not answer."""
+        """Return whether a peer reaches an upstream, None if it can't tell."""
         deadline = self._clock.monotonic() + _CHECK_TIMEOUT
         order = self._order(indirect_calls.Purpose.CHECK, host, deadline)
         call = raw.RawCall(
@@ -241,7 +245,7 @@
             return None
         outcome = indirect_calls.read_outcome(answer)
         _read_detail(answer)
-        return outcome is indirect_calls.Outcome.REACHED
+        return _REACHED_BY_OUTCOME.get(outcome)
 
     def _order(self, purpose, host, deadline):
         return indirect_calls.Order(
--- a/src/peridothitch/gateway/forwarding/helper_server.py
+++ b/src/peridothitch/gateway/forwarding/helper_server.py
@@ -134,6 +134,7 @@
             if order.purpose is indirect_calls.Purpose.CHECK:
                 self._check(host, response_writer)
                 return
+            self._check_path(host)
             call = self._to_call(request, order, fields)
             answer = self._paths.open_directly(
                 host, call, response_writer.on_disconnect
@@ -148,7 +149,7 @@
 
     def _find_host(self, order):
         host = self._upstreams.find_usable(order.host_id, order.incarnation)
-        if host is not None and not self._paths.avoids_direct_path(host):
+        if host is not None:
             return host
         raise errors.UpstreamError(
             errors.Code.NO_UPSTREAM,
@@ -156,7 +157,18 @@
             errors.Ran.NO,
         )
 
+    def _check_path(self, host):
+        if self._paths.avoids_direct_path(host):
+            raise errors.UpstreamError(
+                errors.Code.NO_UPSTREAM,
+                f"this host has no path to {host.host_id} itself",
+                errors.Ran.NO,
+            )
+
     def _check(self, host, response_writer):
+        if self._paths.has_lost_path(host):
+            # This host can't tell, which is not the same as that it was not reached.
+            raise errors.PeerError(f"no path to {host.host_id}", sent=False)
         if not self._paths.probe(host):
             raise errors.UpstreamError(
                 errors.Code.UPSTREAM_REFUSED,
@@ -184,7 +196,7 @@
     def _refuse(self, response_writer, error):
         ran = getattr(error, "ran", errors.Ran.NO)
         outcome = indirect_calls.Outcome.FAILED
-        if ran is errors.Ran.NO:
+        if ran is errors.Ran.NO and error.code is not errors.Code.PEER_FAILED:
             outcome = indirect_calls.Outcome.NOT_SENT
         self._metrics.count("helper_calls", outcome=outcome.value)
         reply = problems.to_reply(error)
--- a/src/peridothitch/gateway/forwarding/interruption.py
+++ b/src/peridothitch/gateway/forwarding/interruption.py
@@ -21,11 +21,21 @@
     error : peridothitch.errors.UpstreamError
     """
     host = attempt.host
-    attempt.fail(error)
     if error.code is errors.Code.UPSTREAM_SILENT:
+        if deps.transport.has_lost_path(host):
+            _log_path_failure(job, host, error)
+            return
+        attempt.fail(error)
         deps.upstreams.suspend(host, "silent")
         return
     is_down = deps.transport.is_down(host)
+    is_path_failure = (
+        error.code is errors.Code.PEER_FAILED or deps.transport.has_lost_path(host)
+    )
+    if is_path_failure and not is_down:
+        _log_path_failure(job, host, error)
+        return
+    attempt.fail(error)
     _log.info(
         "broken off",
         id=job.request_id,
@@ -50,3 +60,10 @@
             digest=job.digest,
             crashes=deps.crash_guard.crash_count(job.digest),
         )
+
+
+def _log_path_failure(job, host, error):
+    """Log a failure that says nothing about the upstream, the request or a version."""
+    _log.info(
+        "path failed", id=job.request_id, host_id=host.host_id, reason=error.detail
+    )
--- a/src/peridothitch/gateway/forwarding/retrying_sender.py
+++ b/src/peridothitch/gateway/forwarding/retrying_sender.py
@@ -303,7 +303,7 @@
                 self._send_count -= 1
                 self._connect_failure_count += 1
                 self._deps.upstreams.suspend(host, "connect")
-                if not self._is_cancelled:
+                if not self._is_cancelled and not self._has_lost_path(host):
                     attempt.fail(error)
         else:
             self._run_count += 1
@@ -316,6 +316,9 @@
             raise self.to_request_error(error)
         self.log_repeat(attempt, error.detail)
 
+    def _has_lost_path(self, host):
+        return self._deps.transport.has_lost_path(host)
+
     def _should_retry(self, attempt):
         job = self._job
         if attempt.answer.status < _SERVER_ERROR_STATUS or not job.may_repeat:
--- a/src/peridothitch/gateway/forwarding/upstream_paths.py
+++ b/src/peridothitch/gateway/forwarding/upstream_paths.py
@@ -121,6 +121,21 @@
             host.service
         )
 
+    def has_lost_path(self, host):
+        """Return whether failures at an upstream are those of this host's path.
+
+        Where the paths to some upstreams of a service are lost, another one to which
+        connections fail has most likely not failed itself.
+        """
+        health = self._health(host)
+        if health.is_lost:
+            return True
+        if not health.has_failed_within(_RECENT_FAILURE, self._clock.monotonic()):
+            return False
+        with self._lock:
+            healths = map(self._health_by_key.get, self._keys_of(host.service))
+            return any(found is not None and found.is_lost for found in healths)
+
     def is_in_doubt(self, service):
         """Return whether this host may have lost its path to a service's upstreams."""
         now = self._clock.monotonic()
@@ -137,10 +152,12 @@
         """Return whether no entry host reaches an upstream that broke off a call."""
         if not self._direct.is_down(host):
             return False
-        if not self._helpers.can_reach(host):
-            return True
-        self._record_reached(host)
-        return False
+        reached = self._helpers.can_reach(host)
+        if reached:
+            self._record_reached(host)
+        if reached is None:
+            return not self.has_lost_path(host)
+        return not reached
 
     def probe(self, host):
         """Return whether this host can open a connection to an upstream."""
--- a/src/peridothitch/ports/raw.py
+++ b/src/peridothitch/ports/raw.py
@@ -216,6 +216,13 @@
     def is_down(self, host):
         """Return whether a host that broke off a call refuses new connections."""
 
+    def has_lost_path(self, host):
+        """Return whether failures at a host are those of this process's path to it.
+
+        False where the transport can't tell.
+        """
+        return False
+
     @abc.abstractmethod
     def retain_connections(self, hosts):
         """Close the idle connections to all but the given hosts."""
