--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -13,7 +13,7 @@
 import time
 
 from peridothitch import sockets
-from peridothitch.standins import replica_heads
+from peridothitch.standins import replica_heads, replica_load
 
 __all__ = ["ReceivedRequest", "Replica"]
 
@@ -51,7 +51,7 @@
         return ""
 
 
-class Replica(replica_heads.CutHeads, replica_heads.Notices):
+class Replica(replica_heads.CutHeads, replica_heads.Notices, replica_load.Load):
     """One replica.
 
     Parameters
@@ -75,6 +75,7 @@
     """
 
     def __init__(self, replica_id, event_count=5, event_gap_seconds=0.01):
+        super().__init__()
         self.replica_id = replica_id
         self.event_count = event_count
         self.event_gap_seconds = event_gap_seconds
@@ -146,9 +147,11 @@
         reader = sock.makefile("rb")
         try:
             while True:
+                self._wait_while_paused()
                 request = _read_request(reader, number)
                 if request is None:
                     return
+                self._wait_while_paused()
                 self.received.append(request)
                 with self._lock:
                     behaviours = self._behaviours
@@ -211,6 +214,7 @@
         )
         for number in range(begin + 1, count + 1):
             event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            self._wait_while_paused()
             try:
                 sock.sendall(b"%x\r\n%b\r\n" % (len(event), event))
                 time.sleep(self.event_gap_seconds)
--- a/src/peridothitch/standins/replica_heads.py
+++ b/src/peridothitch/standins/replica_heads.py
@@ -14,11 +14,15 @@
         Whether it tells that it leaves.
     retry_after : str
         Seconds after which it wants the next request, empty for none.
+    brittle_limit : str
+        Requests that it may have to turn away in a second before it falls over, empty
+        if it bears any number.
     """
 
     limit = ""
     is_leaving = False
     retry_after = ""
+    brittle_limit = ""
 
     def _notice_lines(self):
         lines = []
@@ -28,6 +32,8 @@
             lines.append("Server-Leaving: 1")
         if self.retry_after:
             lines.append(f"Retry-After: {self.retry_after}")
+        if self.brittle_limit:
+            lines.append(f"Server-Brittle: {self.brittle_limit}")
         return lines
 
 
