--- a/soak/processes.py
+++ b/soak/processes.py
@@ -19,6 +19,8 @@
 node_name = "{name}"
 zone = "{data_centre}"
 region = "lothian"
+ip = "127.0.0.1"
+internal_ports = [{helper}, {helper}]
 seed_nodes = [{seeds}]
 [zones]
 lothian-a = "lothian"
@@ -51,6 +53,7 @@
 _PORT_RANGE = 12_000, 32_000
 """Below the ephemeral ports of outgoing connections."""
 
+_PORT_FIELDS = ("front", "ready", "peers", "helper")
 _random_source = random.SystemRandom()
 
 
@@ -75,7 +78,7 @@
         self.name = name
         self._folder = folder
         self._fields = fields | {"name": name, "settings_version": 1}
-        self._fields |= {key: free_port() for key in ("front", "ready", "peers")}
+        self._fields |= {key: free_port() for key in _PORT_FIELDS}
         self._lock = threading.RLock()
         self._process = None
         self._start_count = 0
