--- a/features/lost_paths.feature
+++ b/features/lost_paths.feature
@@ -101,15 +101,15 @@
     Given a platform with the replicas "a" and "b" of each service
     And the entry hosts "edge-1" with links of their own
     When a process sends "edge-1" a call with the order "<purpose>", "<upstream>", "<wait>"
-    Then the response is <status> with code <code> and no replica got a request
+    Then the response is <status> with code <code>, "<outcome>", and no replica got a request
 
     Examples:
-      | purpose | upstream   | wait | status | code |
-      | send    | nobody/1   | 500  | 503    | 3001 |
-      | send    | till-a     | 500  | 400    | 1001 |
-      | send    | till-a/x   | 500  | 400    | 1001 |
-      | send    | till-a/99  | 500  | 503    | 3001 |
-      | run     | till-a/born | 500  | 400    | 1001 |
-      | send    | till-a/born | soon | 400    | 1001 |
-      | send    | till-a/born | 0    | 502    | 3002 |
-      | check   | nobody/1   | 500  | 503    | 3001 |
+      | purpose | upstream    | wait | status | code | outcome  |
+      | send    | nobody/1    | 500  | 503    | 3001 | not sent |
+      | send    | till-a      | 500  | 400    | 1001 | not sent |
+      | send    | till-a/x    | 500  | 400    | 1001 | not sent |
+      | send    | till-a/99   | 500  | 503    | 3001 | not sent |
+      | run     | till-a/born | 500  | 400    | 1001 | not sent |
+      | send    | till-a/born | soon | 400    | 1001 | not sent |
+      | send    | till-a/born | 0    | 502    | 3002 | not sent |
+      | check   | nobody/1    | 500  | 503    | 4004 | failed   |
--- a/src/peridothitch/gateway/forwarding/helper_server.py
+++ b/src/peridothitch/gateway/forwarding/helper_server.py
@@ -151,11 +151,11 @@
         host = self._upstreams.find_usable(order.host_id, order.incarnation)
         if host is not None:
             return host
-        raise errors.UpstreamError(
-            errors.Code.NO_UPSTREAM,
-            f"{order.host_id}/{order.incarnation} takes no requests from this host",
-            errors.Ran.NO,
-        )
+        detail = f"{order.host_id}/{order.incarnation} takes no requests from this host"
+        if order.purpose is indirect_calls.Purpose.CHECK:
+            # That it wasn't tried is not the same as that it was not reached.
+            raise errors.PeerError(detail, sent=False)
+        raise errors.UpstreamError(errors.Code.NO_UPSTREAM, detail, errors.Ran.NO)
 
     def _check_path(self, host):
         if self._paths.avoids_direct_path(host):
@@ -167,7 +167,6 @@
 
     def _check(self, host, response_writer):
         if self._paths.has_lost_path(host):
-            # This host can't tell, which is not the same as that it was not reached.
             raise errors.PeerError(f"no path to {host.host_id}", sent=False)
         if not self._paths.probe(host):
             raise errors.UpstreamError(
