--- a/src/peridothitch/gateway/forwarding/helper_client.py
+++ b/src/peridothitch/gateway/forwarding/helper_client.py
@@ -313,28 +313,20 @@
     return body.decode(errors="replace")[:300]
 
 
-class _IndirectAnswer(raw.RawResponse):
+class _IndirectAnswer(raw.ResponseWrapper):
     """Answer of an upstream that comes through a peer."""
 
     def __init__(self, answer, client, peer, sent_at):
+        super().__init__(answer)
         self.sent_at = sent_at
-        self._answer = answer
         self._client = client
         self._peer = peer
         self._lock = threading.Lock()
         self._has_ended = False
-        self.status = answer.status
-        self.reason = answer.reason
-        self.fields = answer.fields
-        self.metadata = answer.metadata
-        self.length = answer.length
-
-    def set_deadline(self, deadline):
-        self._answer.set_deadline(deadline)
 
     def read_some(self):
         try:
-            return self._answer.read_some()
+            return super().read_some()
         except errors.UpstreamError as error:
             if error.code is errors.Code.UPSTREAM_SILENT:
                 raise
@@ -349,4 +341,4 @@
             has_ended, self._has_ended = self._has_ended, True
         if not has_ended:
             self._client.end_call(self._peer)
-        self._answer.close()
+        super().close()
--- a/src/peridothitch/gateway/forwarding/upstream_paths.py
+++ b/src/peridothitch/gateway/forwarding/upstream_paths.py
@@ -309,26 +309,15 @@
     return host.host_id, host.incarnation
 
 
-class _WatchedAnswer(raw.RawResponse):
+class _WatchedAnswer(raw.ResponseWrapper):
     """Answer whose bytes tell that its service is not silent."""
 
     def __init__(self, answer, host, record_heard):
-        self._answer = answer
+        super().__init__(answer)
         self._host = host
         self._record_heard = record_heard
-        self.status = answer.status
-        self.reason = answer.reason
-        self.fields = answer.fields
-        self.metadata = answer.metadata
-        self.length = answer.length
-
-    def set_deadline(self, deadline):
-        self._answer.set_deadline(deadline)
 
     def read_some(self):
-        data = self._answer.read_some()
+        data = super().read_some()
         self._record_heard(self._host)
         return data
-
-    def close(self):
-        self._answer.close()
--- a/src/peridothitch/ports/raw.py
+++ b/src/peridothitch/ports/raw.py
@@ -10,6 +10,7 @@
     "RawResponse",
     "RawTransport",
     "ResponseLimits",
+    "ResponseWrapper",
     "ResponseWriter",
 ]
 
@@ -188,6 +189,36 @@
         """Abandon the response unless it was read to the end."""
 
 
+class ResponseWrapper(RawResponse):
+    """Response that passes on another one.
+
+    Parameters
+    ----------
+    response : RawResponse
+    """
+
+    def __init__(self, response):
+        self._response = response
+        self.status = response.status
+        self.reason = response.reason
+        self.fields = response.fields
+        self.metadata = response.metadata
+        self.length = response.length
+        self.sent_at = response.sent_at
+
+    def set_deadline(self, deadline):
+        """Wait for further bytes until the monotonic time `deadline`."""
+        self._response.set_deadline(deadline)
+
+    def read_some(self):
+        """Return the next bytes of the body, empty at its end."""
+        return self._response.read_some()
+
+    def close(self):
+        """Abandon the response unless it was read to the end."""
+        self._response.close()
+
+
 class RawTransport(abc.ABC):
     """Sends requests to upstream hosts."""
 
