Probe upstreams that no entry host reaches, so that they are used soon once back

Where all hosts had lost their paths, or several upstreams of a service were out of reach for all, a host asked others in vain and never tried itself until the last failure was 5 s old: callers got 503 (3009) for seconds after everything was back.

Upstreams to which connections fail are now probed while their service is in doubt, each once a second at most; the first that connects is used at once.

--- a/features/lost_paths.feature
+++ b/features/lost_paths.feature
@@ -61,6 +61,16 @@
     Then from 3 s on the callers got 503 within 0.6 s each time, with a time to wait
     And no request that may run only once ran twice
 
+  Scenario: Paths that all hosts had lost are used late once they are back
+    Given a platform with the replicas "a" and "b" of each service
+    And the entry hosts "edge-1, edge-2" with links of their own
+    And callers have used all routes of "edge-1"
+    When the links of "edge-1, edge-2" to all upstreams hang
+    And callers send 10 requests a second of all routes to "edge-1" for 3 s
+    And the links of "edge-1, edge-2" are back
+    And callers send 10 requests a second of all routes to "edge-1" for 4 s
+    Then from 2 s on the callers got 200 each time
+
   Scenario Outline: A path that is back is not used again
     Given a platform with the replicas "a" and "b" of each service
     And the entry hosts "edge-1, edge-2, edge-3" with links of their own
--- a/features/steps/lost_paths_steps.py
+++ b/features/steps/lost_paths_steps.py
@@ -192,9 +192,10 @@
     assert not failures, failures[:4]
 
 
-@behave.when('the links of "{host_id}" are back')
-def heal(context, host_id):
-    context.links_by_id[host_id].heal()
+@behave.when('the links of "{host_ids}" are back')
+def heal(context, host_ids):
+    for host_id in _names(host_ids):
+        context.links_by_id[host_id].heal()
 
 
 @behave.then(
--- a/src/peridothitch/gateway/forwarding/upstream_paths.py
+++ b/src/peridothitch/gateway/forwarding/upstream_paths.py
@@ -204,6 +204,7 @@
             if not silent and not self.is_in_doubt(service):
                 continue
             others = self._unproved_hosts(service, now)
+            others += self._failing_hosts(service, now)
             self._random.shuffle(others)
             chosen += silent + [host for host in others if host not in silent]
         return chosen
@@ -237,6 +238,17 @@
                 if not health.is_failing and self._may_probe(key, now)
             ]
 
+    def _failing_hosts(self, service, now):
+        """Return upstreams that no connection reaches, and perhaps no other host."""
+        with self._lock:
+            return [
+                self._host_by_key[key]
+                for key in self._keys_of(service)
+                if self._may_probe(key, now)
+                and self._health_by_key.get(key, _UNKNOWN).is_failing
+                and not self._health_by_key[key].is_lost
+            ]
+
     def _find_lost(self):
         """Return lost paths to probe: one of a service, or all once one is back."""
         now = self._clock.monotonic()
