--- a/review/harness.py
+++ b/review/harness.py
@@ -104,6 +104,10 @@
         """Write one line."""
         with self._lock:
             self._file.write(f"{time.monotonic() - self._began:8.3f} {text}\n")
+
+    def flush(self):
+        """Write what is buffered."""
+        with self._lock:
             self._file.flush()
 
 
@@ -322,7 +326,7 @@
         self._stack.callback(server.close)
         return f"127.0.0.1:{server.port}"
 
-    def configure(self, version, routes, **others):
+    def configure(self, version, routes, idle_timeout_ms=15000, **others):
         """Write the operator's configuration."""
         fields = {
             "version": version,
@@ -332,7 +336,7 @@
                 "max_header_bytes": 16384,
                 "max_body_bytes": 4 << 20,
                 "header_timeout_ms": 3000,
-                "idle_timeout_ms": 15000,
+                "idle_timeout_ms": idle_timeout_ms,
             },
             "tenants": [{"name": TENANT, "api_keys": [API_KEY]}],
         }
@@ -449,5 +453,8 @@
     except Exception as error:
         record(f"could not run: {error!r}")
         raise SystemExit(2) from error
+    finally:
+        record.flush()
     record("the rule held" if held else "the rule was broken")
+    record.flush()
     raise SystemExit(0 if held else 1)
