--- a/review/harness.py
+++ b/review/harness.py
@@ -357,7 +357,9 @@
     def write_entries(self):
         """Write the entries of all replicas."""
         for replica in tuple(self.replicas):
-            self.store.put(f"servers/{replica.replica_id}", replica.entry())
+            entry = replica.entry()
+            if entry is not None:
+                self.store.put(f"servers/{replica.replica_id}", entry)
 
     def start(self):
         """Start all hosts, and wait until all are ready."""
