--- a/review/harness.py
+++ b/review/harness.py
@@ -30,6 +30,7 @@
 TENANT = "hule930"
 READY_SECONDS = 20.0
 _PORTS = range(12_000, 32_000)
+_ADDRESSES = tuple(f"127.0.0.{11 + number}" for number in range(4))
 _HEARTBEAT_SECONDS = 1.2
 _SETTINGS = """\
 node_name = "{name}"
@@ -418,11 +419,16 @@
 
 
 def free_ports(count):
-    """Return ports without a listener, below those of outgoing connections."""
+    """Return ports that are free on all addresses of a deployment.
+
+    They are below those of outgoing connections.
+    """
     found = []
     while len(found) < count:
         port = random.SystemRandom().choice(_PORTS)
-        with contextlib.suppress(OSError), socket.create_server(("0.0.0.0", port)):
+        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
+            for ip in _ADDRESSES:
+                stack.enter_context(socket.create_server((ip, port)))
             if port not in found:
                 found.append(port)
     return found
