--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """The holder of the duties is lost after a usage report; then the store is restored.
 
 The store comes back from a copy that is older than the record of the window's counts.
+With ``TROUBLE=0`` no host is lost and the store is not restored.
 """
 
 import json
