Keep the counts of the latest windows, not those added last

Cause: FinalCounts keeps eight windows and dropped the one that was added first. A copy of the store has older windows, whose records a holder reads again in ascending order; each pushed out the next, and the newest one at last.

The new scenario fails without this change and passes with it.

--- a/features/steps/usage_progress_steps.py
+++ b/features/steps/usage_progress_steps.py
@@ -284,3 +284,20 @@
     successor.receive_report(context.holder.make_report())
     successor.receive(_process_counts(context))
     successor.run(context.clock, 8)
+
+
+@behave.given("a host that knows the final counts of windows {first:d} to {last:d}")
+def know_counts(context, first, last):
+    context.final_counts = final_counts.FinalCounts()
+    find_counts(context, first, last)
+
+
+@behave.when("it finds those of windows {first:d} to {last:d} in a copy of the store")
+def find_counts(context, first, last):
+    for window in range(first, last + 1):
+        context.final_counts.record_own(window, {"lanark": window})
+
+
+@behave.then("it still knows the counts of window {window:d}")
+def check_known(context, window):
+    assert context.final_counts.find(window) == {"lanark": window}
--- a/features/usage_progress.feature
+++ b/features/usage_progress.feature
@@ -63,3 +63,8 @@
       | successor                                                              |
       | the same process takes over the duties again                           |
       | another host takes over the duties and hears of the first one's counts |
+
+  Scenario: Counts of the newest window are dropped for older ones in a copy of the store
+    Given a host that knows the final counts of windows 101 to 108
+    When it finds those of windows 100 to 107 in a copy of the store
+    Then it still knows the counts of window 108
--- a/src/peridothitch/gateway/forwarding/final_counts.py
+++ b/src/peridothitch/gateway/forwarding/final_counts.py
@@ -29,8 +29,8 @@
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._own_by_window = collections.OrderedDict()
-        self._received_by_window = collections.OrderedDict()
+        self._own_by_window = {}
+        self._received_by_window = {}
         self._told_numbers = collections.deque(maxlen=_RETAINED_NUMBERS)
         self._seen_numbers = collections.deque(maxlen=_RETAINED_NUMBERS)
         self.held_number = 0
@@ -82,6 +82,7 @@
 
 
 def _add(counts_by_window, window, count_by_customer):
+    """Add a window's first counts; the latest windows are kept."""
     counts_by_window.setdefault(window, count_by_customer)
     while len(counts_by_window) > _RETAINED_WINDOWS:
-        counts_by_window.popitem(last=False)
+        del counts_by_window[min(counts_by_window)]
