Report a window again only if nobody can have reported it

Cause: `FinalCounts.knows_all_before` took a holder that had told its fencing number to have told all its counts, but it tells the number from its first report on and a window's counts up to a second after the platform has them. It also took the last holder that this host had seen for the last that there was, and a holder that had left a window out for one that knew all.

Change: a host tells its number only once the era has ended in which it held the duties, and not while it is writing or has left windows out. Hosts tell the numbers they have seen; a new holder waits for all live hosts' reports of the new era, and leaves a window out only when it is due. The fields are appended; a host of an earlier build gets no number before it may conclude from it.

--- a/features/steps/duties_steps.py
+++ b/features/steps/duties_steps.py
@@ -49,6 +49,12 @@
     def counts_by_process(self):
         return {"edge-1/a": self.counts}
 
+    def has_seen_holder(self, number):
+        return False
+
+    def have_all_seen_era(self, era):
+        return False
+
     def process_counts(self, oldest_window):
         return ()
 
--- a/features/steps/usage_progress_steps.py
+++ b/features/steps/usage_progress_steps.py
@@ -6,10 +6,11 @@
 import duty_fakes
 import msgspec
 import quota_fleet
+import restorable_store
 import virtual_clock
 
 from peridothitch import errors
-from peridothitch.adapters import memory_store, metrics
+from peridothitch.adapters import metrics
 from peridothitch.coordination import single_host
 from peridothitch.gateway.forwarding import (
     final_counts,
@@ -31,6 +32,7 @@
     """The reports and the duty of one process of an entry host."""
 
     def __init__(self, context, name, fencing_number):
+        self._context = context
         self.metrics = metrics.Metrics()
         peer = peers.Peer(host_id=name, address="", data_centre="lothian-a")
         self._peers = single_host.SingleHostPeers(peer)
@@ -58,16 +60,20 @@
         )
 
     def make_report(self):
+        era = store.era_of(self._context.store.revision)
+        statement = self._final_counts.statement(era)
         return fleet_messages.HostReport(
             self._peers.host_id,
-            "p",
+            "own",
             {},
             {},
             {},
             {},
             {},
-            final_counts_by_window=self._final_counts.own(),
-            held_number=self._final_counts.held_number,
+            final_counts_by_window=statement.counts_by_window,
+            closed_number=statement.closed_number,
+            store_era=statement.era,
+            seen_numbers=statement.seen_numbers,
         )
 
     def see_holder(self, fencing_number):
@@ -89,12 +95,19 @@
     def run(self, clock, seconds):
         for _ in range(int(seconds / _STEP.total_seconds())):
             clock.advance(_STEP)
+            self.reports.send()
             try:
                 self.duty.step(self.lease.permit())
             except errors.CodedError:
                 continue
 
 
+def _begin_era(context, era):
+    """Let the store come back from a copy of all that it has."""
+    while store.era_of(context.store.revision) < era:
+        context.store.restore(context.store.copy())
+
+
 def _process_counts(context):
     return [
         fleet_messages.ProcessCounts(f"edge-{n}", "p", {context.window: _COUNTS})
@@ -105,9 +118,10 @@
 @behave.given("3 entry hosts that counted requests in a window")
 def count_requests(context):
     context.clock = virtual_clock.VirtualClock()
-    context.store = memory_store.MemoryStore(context.clock)
+    context.store = restorable_store.RestorableStore(context.clock)
     context.platform = duty_fakes.Platform()
-    context.holder = _Process(context, "edge-0", 7)
+    _begin_era(context, 1)
+    context.holder = _Process(context, "edge-0", store.in_era(1, 7))
     context.holder.run(context.clock, 4)
     context.window = int(context.clock.now().timestamp()) // 5
     context.holder.receive(_process_counts(context))
@@ -123,12 +137,12 @@
 @behave.when("all of them are killed and the duties are taken over by a new process")
 def kill_all(context):
     context.clock.advance(datetime.timedelta(seconds=2))
-    _Process(context, "edge-2", 9).run(context.clock, 10)
+    _Process(context, "edge-2", store.in_era(1, 9)).run(context.clock, 10)
 
 
 @behave.when("the holder is killed and another host takes over the duties")
 def kill_holder(context):
-    successor = _Process(context, "edge-2", 9)
+    successor = _Process(context, "edge-2", store.in_era(1, 9))
     successor.receive(_process_counts(context)[1:])
     successor.run(context.clock, 10)
 
@@ -142,7 +156,7 @@
 
 @behave.when("the holder is paused, another takes over, and the first one saves again")
 def pause_holder(context):
-    successor = _Process(context, "edge-2", 9)
+    successor = _Process(context, "edge-2", store.in_era(1, 9))
     newer = {context.window + 1: {"lanark": 1}}
     successor.receive([fleet_messages.ProcessCounts("edge-2", "q", newer)])
     successor.run(context.clock, 2)
@@ -165,7 +179,7 @@
 @behave.when("the saved counts are damaged and another host takes over the duties")
 def damage(context):
     context.store.transact([], [store.Put(_KEY, b"\xc1garbage")])
-    context.successor = _Process(context, "edge-2", 9)
+    context.successor = _Process(context, "edge-2", store.in_era(1, 9))
     context.successor.receive(_process_counts(context))
     context.successor.run(context.clock, 10)
 
@@ -214,6 +228,7 @@
 )
 def lose_and_take_over(context):
     _lose_counts(context)
+    _begin_era(context, 2)
     context.holder.receive(context.late_counts)
     context.holder.take_over(store.in_era(2, 8))
     context.holder.run(context.clock, 4)
@@ -222,13 +237,13 @@
 @behave.when("the same process takes over the duties again")
 def take_over_again(context):
     context.holder.receive(context.late_counts)
-    context.holder.take_over(9)
+    context.holder.take_over(store.in_era(1, 9))
     context.holder.run(context.clock, 4)
 
 
 @behave.when("another host takes over the duties and hears of the first one's counts")
 def take_over_elsewhere(context):
-    successor = _Process(context, "edge-2", 9)
+    successor = _Process(context, "edge-2", store.in_era(1, 9))
     successor.receive(_process_counts(context) + context.late_counts)
     successor.run(context.clock, 0.5)
     successor.receive_report(context.holder.make_report())
@@ -245,6 +260,7 @@
 
 @behave.when("all of them are killed and a new process takes over in a later era")
 def kill_all_in_later_era(context):
+    _begin_era(context, 2)
     context.holder = _Process(context, "edge-2", store.in_era(2, 6))
     context.holder.see_holder(0)
     other = _Process(context, "edge-1", 0)
@@ -277,6 +293,7 @@
 
 @behave.when("the store comes back and another host takes over in a later era")
 def take_over_in_later_era(context):
+    _begin_era(context, 2)
     successor = _Process(context, "edge-2", store.in_era(2, 6))
     successor.see_holder(store.in_era(1, 7))
     context.clock.advance(datetime.timedelta(seconds=2))
--- a/src/peridothitch/coordination/mirror.py
+++ b/src/peridothitch/coordination/mirror.py
@@ -123,6 +123,11 @@
         """Whether the keys have been read or received from another host."""
         return self.revision > 0
 
+    @property
+    def era(self):
+        """Era of the store in which the keys were read last."""
+        return store.era_of(self.revision)
+
     @property
     def is_watching(self):
         """Whether this host watches the store itself now."""
@@ -156,8 +161,7 @@
     def has_retained_items(self):
         """Whether keys are held that the store has lost or has older ones of."""
         with self._lock:
-            era = store.era_of(self.revision)
-            return bool(mirror_eras.retained_items(self._item_by_key, era))
+            return bool(mirror_eras.retained_items(self._item_by_key, self.era))
 
     def items(self):
         """Return the keys as a dict of key to `peridothitch.ports.store.KeyValue`."""
@@ -306,7 +310,7 @@
                 self._count_dropped(revision, source)
                 return self._adopt_retained(found_by_key, era, source)
             at = self._clock.monotonic() if changed_at is None else changed_at
-            if self.is_loaded and era > store.era_of(self.revision):
+            if self.is_loaded and era > self.era:
                 self._record_restore(revision, at)
             self.revision = revision
             self._join(found_by_key, source, at)
@@ -314,7 +318,7 @@
 
     def _adopt_retained(self, found_by_key, era, source):
         """Adopt what another host holds though the store has lost it."""
-        if era != store.era_of(self.revision):
+        if era != self.era:
             return False
         retained = mirror_eras.retained_items(found_by_key, era)
         found_by_key = self._item_by_key | retained
@@ -322,7 +326,7 @@
 
     def _join(self, found_by_key, source, changed_at):
         """Join newer keys with those held; returns whether any has changed."""
-        before, era = self._item_by_key, store.era_of(self.revision)
+        before, era = self._item_by_key, self.era
         self._item_by_key = mirror_eras.join(before, found_by_key, era, self._era_rule)
         has_changes = _revisions(self._item_by_key) != _revisions(before)
         if has_changes or not self._digest:
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -197,7 +197,7 @@
     def _make_reports(self, peers):
         return fleet_reports.FleetReports(
             peers,
-            self._find_holder,
+            lambda: self._duty_runner.find_holder(),
             self._make_report,
             self._quotas.terms,
             self._clock,
@@ -379,10 +379,8 @@
         self._quotas.apply_record(fleet_record.read_record(self._leases))
         self._part_guard.restore()
 
-    def _find_holder(self):
-        return self._duty_runner.find_holder()
-
     def _make_report(self):
+        statement = self._final_counts.statement(self._leases.era)
         return fleet_messages.HostReport(
             host_id=self._settings.host_id,
             incarnation=self._incarnation,
@@ -393,6 +391,8 @@
             busy_by_service=self._busy.busy_by_service(),
             size_by_customer=self._quotas.sizes(),
             lenders_digest=self._quotas.lenders_digest,
-            final_counts_by_window=self._final_counts.own(),
-            held_number=self._final_counts.held_number,
+            final_counts_by_window=statement.counts_by_window,
+            closed_number=statement.closed_number,
+            store_era=statement.era,
+            seen_numbers=statement.seen_numbers,
         )
--- a/src/peridothitch/gateway/forwarding/final_counts.py
+++ b/src/peridothitch/gateway/forwarding/final_counts.py
@@ -3,37 +3,64 @@
 A holder of the duties writes a window's counts to the store before it reports them. If
 the store comes back from an older copy of itself, the next holder has to report the
 same counts again or none. So each host keeps the counts that it wrote as the holder
-and tells them in its reports, to the holder and its deputy, with the fencing number
-under which it held the duties last.
+and tells them in its reports, to the holder and its deputy.
+
+A window of which nobody tells counts may still have been reported, by a holder that is
+lost. It was not if the last holder before the copy says so: a host tells the fencing
+number under which it held the duties once the store's era has ended, since nothing that
+it writes after that is lost with the era. Which holder was the last is known to the
+hosts together; each tells the numbers that it has seen.
 """
 
 import collections
+import contextlib
+import dataclasses
 import threading
 
 from peridothitch.ports import store
 
-__all__ = ["FinalCounts"]
+__all__ = ["FinalCounts", "Statement"]
 
 _RETAINED_WINDOWS = 8
 _RETAINED_NUMBERS = 16
+_RETAINED_ERAS = 4
 
 
-class FinalCounts:
-    """Final counts of the last windows, as far as this host knows.
+@dataclasses.dataclass(frozen=True)
+class Statement:
+    """What one process tells of the counts that it has reported.
 
     Attributes
     ----------
-    held_number : int
-        Fencing number under which this process held the duties last, 0 if never.
+    counts_by_window : dict of int to dict of str to int
+        Final counts that the process found in the store or wrote there.
+    closed_number : int
+        Fencing number under which it held the duties in an era that has ended; 0 if
+        there is none, or if it doesn't know the counts of all windows before.
+    era : int
+        Era of the store that it knows of; 0 while it is writing counts.
+    seen_numbers : tuple of int
+        Highest fencing number of a holder that it has seen in each of the last eras.
     """
 
+    counts_by_window: dict
+    closed_number: int = 0
+    era: int = 0
+    seen_numbers: tuple = ()
+
+
+class FinalCounts:
+    """Final counts of the last windows, as far as this host knows."""
+
     def __init__(self):
         self._lock = threading.Lock()
         self._own_by_window = {}
         self._received_by_window = {}
-        self._told_numbers = collections.deque(maxlen=_RETAINED_NUMBERS)
-        self._seen_numbers = collections.deque(maxlen=_RETAINED_NUMBERS)
-        self.held_number = 0
+        self._closed_numbers = collections.deque(maxlen=_RETAINED_NUMBERS)
+        self._seen_number_by_era = {}
+        self._held_number = 0
+        self._is_complete = False
+        self._is_writing = False
 
     def find(self, window):
         """Return a window's final counts by customer, None if they are unknown."""
@@ -44,41 +71,98 @@
     def begin_term(self, number):
         """Record that this process holds the duties under a fencing number."""
         with self._lock:
-            self.held_number = number
-            self._told_numbers.append(number)
+            if self._is_complete:
+                self._add_closed(self._held_number)
+            self._held_number = number
+            self._is_complete = False
+            self._add_seen(number)
+
+    def set_complete(self, is_complete):
+        """Record whether this holder knows the counts of all windows reported."""
+        with self._lock:
+            self._is_complete = is_complete
+
+    @contextlib.contextmanager
+    def writing(self):
+        """Return a context in which this holder writes counts to the store.
+
+        They may be in an era's store before they are recorded here.
+        """
+        with self._lock:
+            self._is_writing = True
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._is_writing = False
 
     def record_own(self, window, count_by_customer):
         """Record the counts that this host found in the store or wrote there."""
         with self._lock:
             _add(self._own_by_window, window, count_by_customer)
 
-    def receive(self, counts_by_window, held_number):
-        """Add what another process has told; the first counts remain."""
+    def record_holder(self, number):
+        """Record the fencing number of a holder that this host sees; 0 for none."""
         with self._lock:
-            for window, count_by_customer in counts_by_window.items():
-                _add(self._received_by_window, window, count_by_customer)
-            if held_number and held_number not in self._told_numbers:
-                self._told_numbers.append(held_number)
+            self._add_seen(number)
 
-    def own(self):
-        """Return the counts that this host recorded itself, by window."""
+    def receive(self, statement):
+        """Add another process's `Statement`; the first counts of a window remain."""
         with self._lock:
-            return dict(self._own_by_window)
-
-    def record_holder(self, number):
-        """Record the fencing number of a holder that this host sees; 0 for none."""
+            for window, count_by_customer in statement.counts_by_window.items():
+                _add(self._received_by_window, window, count_by_customer)
+            for number in statement.seen_numbers:
+                self._add_seen(number)
+            # Hosts of earlier builds tell no era, and their number in the era itself.
+            closed = statement.closed_number
+            if closed and store.era_of(closed) < statement.era:
+                self._add_closed(closed)
+
+    def statement(self, era):
+        """Return this process's `Statement`.
+
+        Parameters
+        ----------
+        era : int
+            Era of the store that this host knows of.
+        """
         with self._lock:
-            if number and number not in self._seen_numbers:
-                self._seen_numbers.append(number)
+            is_closed = self._is_complete and store.era_of(self._held_number) < era
+            return Statement(
+                counts_by_window=dict(self._own_by_window),
+                closed_number=(
+                    self._held_number if is_closed and not self._is_writing else 0
+                ),
+                era=0 if self._is_writing else era,
+                seen_numbers=tuple(self._seen_number_by_era.values()),
+            )
 
     def knows_all_before(self, era):
-        """Return whether the last holder before an era has told its counts.
+        """Return whether the last holder before an era has told all its counts.
 
-        Windows of which it told nothing were not reported, then.
+        Windows of which it told nothing were not reported, then. Whether a later holder
+        was seen by others is known once all of them have reported in the era.
         """
         with self._lock:
-            before = [n for n in self._seen_numbers if store.era_of(n) < era]
-            return bool(before) and max(before) in self._told_numbers
+            before = [
+                number
+                for number_era, number in self._seen_number_by_era.items()
+                if number_era < era
+            ]
+            return bool(before) and max(before) in self._closed_numbers
+
+    def _add_closed(self, number):
+        if number not in self._closed_numbers:
+            self._closed_numbers.append(number)
+
+    def _add_seen(self, number):
+        if not number:
+            return
+        era = store.era_of(number)
+        known = self._seen_number_by_era.get(era, 0)
+        self._seen_number_by_era[era] = max(known, number)
+        while len(self._seen_number_by_era) > _RETAINED_ERAS:
+            del self._seen_number_by_era[min(self._seen_number_by_era)]
 
 
 def _add(counts_by_window, window, count_by_customer):
--- a/src/peridothitch/gateway/forwarding/fleet_messages.py
+++ b/src/peridothitch/gateway/forwarding/fleet_messages.py
@@ -42,8 +42,13 @@
         Digest of the lenders that this host knows, 0 if it knows none.
     final_counts_by_window : dict of int to dict of str to int
         Counts that this host has reported to the platform as the holder of the duties.
-    held_number : int
-        Fencing number under which this process held them last, 0 if never.
+    closed_number : int
+        Fencing number under which this process held them in an era of the store that
+        has ended; 0 if there is none, or if it doesn't know all counts before.
+    store_era : int
+        Era of the store that this host knows of; hosts of earlier builds tell 0.
+    seen_numbers : tuple of int
+        Highest fencing number of a holder that it has seen in each of the last eras.
     """
 
     host_id: str
@@ -59,7 +64,9 @@
     size_by_customer: dict[str, float] = {}
     lenders_digest: int = 0
     final_counts_by_window: dict[int, dict[str, int]] = {}
-    held_number: int = 0
+    closed_number: int = 0
+    store_era: int = 0
+    seen_numbers: tuple[int, ...] = ()
 
 
 class FleetView(msgspec.Struct, frozen=True, array_like=True):
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -21,7 +21,7 @@
 
 from peridothitch import errors
 from peridothitch.coordination import relays
-from peridothitch.gateway.forwarding import fleet_messages
+from peridothitch.gateway.forwarding import final_counts, fleet_messages
 from peridothitch.policy import quota_shares, usage_windows
 
 __all__ = ["FleetReports"]
@@ -38,6 +38,9 @@
 _MAX_COUNTS_AGE = datetime.timedelta(seconds=60)
 """Age of a process's last report after which its counts are discarded."""
 
+_RECENT_AGE = datetime.timedelta(seconds=30)
+"""Time for which a host that is no longer live counts as live lately."""
+
 _DEPARTED_AGE = datetime.timedelta(seconds=2.5)
 """Age of a process's last report after which other hosts forward its counts."""
 
@@ -71,7 +74,7 @@
         Returns a `peridothitch.policy.quota_shares.QuotaTerms` by customer.
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
-    final_counts : peridothitch.gateway.forwarding.final_counts.FinalCounts
+    known_counts : peridothitch.gateway.forwarding.final_counts.FinalCounts
         Receives what other hosts have reported to the platform.
 
     Attributes
@@ -88,10 +91,10 @@
         find_terms,
         clock,
         metrics,
-        final_counts,
+        known_counts,
     ):
         self._peers = peers
-        self._final_counts = final_counts
+        self._final_counts = known_counts
         self._find_holder = find_holder
         self._make_report = make_report
         self._find_terms = find_terms
@@ -99,6 +102,7 @@
         self._metrics = metrics
         self._lock = threading.Lock()
         self._received_by_process = {}
+        self._live_at_by_host = {}
         self._shares = quota_shares.QuotaShares()
         self._view_callbacks = []
         self.view = None
@@ -129,6 +133,7 @@
             is_final=is_final,
         )
         self._store_report(report)
+        self._record_live_hosts()
         holder = self._find_holder()
         recipients = self._recipients(holder, is_final)
         if is_final:
@@ -143,6 +148,14 @@
         if holder == self._peers.host_id:
             self._apply_view(self._view_for(report))
 
+    def _record_live_hosts(self):
+        now = self._clock.monotonic()
+        with self._lock:
+            live_at = self._live_at_by_host
+            live_at.update(dict.fromkeys(self._peers.members(), now))
+            for host_id in [h for h, at in live_at.items() if now - at > _RECENT_AGE]:
+                del live_at[host_id]
+
     def _recipients(self, holder, is_final):
         own = self._peers.host_id
         others = [host_id for host_id in self._peers.members() if host_id != holder]
@@ -196,7 +209,7 @@
         counts = fleet_messages.ProcessCounts(
             report.host_id, report.incarnation, report.counts_by_window
         )
-        self._final_counts.receive(report.final_counts_by_window, report.held_number)
+        self._final_counts.receive(_statement(report))
         # Backdated, so that a stopping process's counts are forwarded at once.
         at = now - _DEPARTED_AGE if report.is_final else now
         with self._lock:
@@ -272,6 +285,26 @@
                 busy_by_service[service] = busy_by_service.get(service, 0.0) + busy
         return busy_by_service
 
+    def have_all_seen_era(self, era):
+        """Return whether all live hosts have reported since an era of the store began.
+
+        A host that has lost the others doesn't know who is live; so more than half of
+        those that were live lately have to be among them.
+        """
+        heard = {r.host_id for r in self._recent_reports() if r.store_era >= era}
+        with self._lock:
+            recent = set(self._live_at_by_host)
+        live = set(self._peers.members())
+        return live <= heard and 2 * len(heard & recent) > len(recent)
+
+    def has_seen_holder(self, number):
+        """Return whether another host has told that it has seen a fencing number."""
+        return any(
+            number in report.seen_numbers
+            for report in self._recent_reports()
+            if report.host_id != self._peers.host_id
+        )
+
     def process_counts(self, oldest_window):
         """Return the `ProcessCounts` of all processes from a window on."""
         with self._lock:
@@ -308,6 +341,15 @@
             }
 
 
+def _statement(report):
+    return final_counts.Statement(
+        counts_by_window=report.final_counts_by_window,
+        closed_number=report.closed_number,
+        era=report.store_era,
+        seen_numbers=report.seen_numbers,
+    )
+
+
 def _digest(lenders_by_customer):
     text = repr(sorted(lenders_by_customer.items()))
     return xxhash.xxh32_intdigest(text.encode()) or 1
--- a/src/peridothitch/gateway/forwarding/usage_duty.py
+++ b/src/peridothitch/gateway/forwarding/usage_duty.py
@@ -3,7 +3,8 @@
 The counts of a window are written to the store before they are sent, by a conditional
 write that fails if they exist. A holder that finds them there sends those, so that a
 report that is repeated after a lost answer, or by a successor, never differs. What the
-store loses when it comes back from an older copy, the hosts know (see `final_counts`).
+store loses when it comes back from an older copy, the hosts know (see `final_counts`);
+a window that may have been reported with counts that nobody knows is left out.
 """
 
 import datetime
@@ -20,12 +21,15 @@
 
 _PREFIX = "/peridothitch/usage-windows/"
 _ERA_KEY = "/peridothitch/usage-era"
-_NOT_REPORTED = b"null"
+_UNKNOWN_COUNTS = b"null"
 """Stands for the counts of a window that may have been reported with unknown ones."""
 
 _SETTLE_TIME = datetime.timedelta(seconds=2)
 """From a window's end until its counts are final: two periods of the hosts' reports."""
 
+_MAX_CLOCK_ERROR = datetime.timedelta(seconds=1)
+"""By which the shared clocks of two hosts differ at most."""
+
 _GATHER_TIME = datetime.timedelta(seconds=1.8)
 """From acquiring the duties until all hosts have reported to the new holder."""
 
@@ -78,6 +82,7 @@
         self._metrics = metrics
         self._fencing_number = 0
         self._last_lost_window = 0
+        self._is_era_recorded = False
         self._sent_windows = set()
         self._counts_by_window = {}
         self._next_attempt = self._gathered_at = clock.monotonic()
@@ -93,8 +98,11 @@
             return
         for window in self._due_windows():
             self._send(window)
-        if self._last_lost_window and self._clock.monotonic() >= self._gathered_at:
+        if not self._is_era_recorded and not self._has_lost_windows():
             self._write_era()
+        self._final.set_complete(
+            self._is_era_recorded and None not in self._counts_by_window.values()
+        )
         self._progress.save(self._oldest_window())
 
     def _begin_term(self, fencing_number):
@@ -104,20 +112,24 @@
         self._progress.restore()
         era = store.era_of(fencing_number)
         self._last_lost_window = 0
-        if self._read_era(min(era, 1)) != era:
-            settled = self._shared_clock.now() - _SETTLE_TIME
-            window = usage_windows.window_of(settled, self._bounds.usage_window) - 1
-            self._last_lost_window = window
+        recorded_era = self._read_era()
+        self._is_era_recorded = recorded_era == era
+        # A store that has no record is new, unless it came back from a copy.
+        is_new = recorded_era is None and era <= 1
+        if not self._is_era_recorded and not is_new:
+            settled = self._shared_clock.now() - _SETTLE_TIME + _MAX_CLOCK_ERROR
+            window = usage_windows.window_of(settled, self._bounds.usage_window)
+            self._last_lost_window = window - 1
         self._final.begin_term(fencing_number)
         self._fencing_number = fencing_number
         self._sent_windows.clear()
         self._gathered_at = self._clock.monotonic() + _GATHER_TIME
 
-    def _read_era(self, first_era):
-        """Return the era of which the store has all windows' counts."""
+    def _read_era(self):
+        """Return the era whose counts the store has, None if it has no record."""
         item = self._store.get(_ERA_KEY)
         if item is None:
-            return first_era
+            return None
         return msgspec.json.decode(item.value, type=int)
 
     def _write_era(self):
@@ -125,6 +137,7 @@
         era = msgspec.json.encode(store.era_of(self._fencing_number))
         self._store.transact([], [store.Put(_ERA_KEY, era)])
         self._last_lost_window = 0
+        self._is_era_recorded = True
 
     def _oldest_window(self):
         """Return the oldest window that may still be reported."""
@@ -134,17 +147,38 @@
             oldest += 1
         return oldest
 
+    def _has_lost_windows(self):
+        """Return whether a window that the store may have lost is still to be sent."""
+        now = self._shared_clock.now()
+        first = usage_windows.window_of(
+            now - self._bounds.usage_delay, self._bounds.usage_window
+        )
+        lost = range(first - 1, self._last_lost_window + 1)
+        return any(window not in self._sent_windows for window in lost)
+
     def _due_windows(self):
         window = self._bounds.usage_window
         now = self._shared_clock.now()
         newest = usage_windows.window_of(now - _SETTLE_TIME, window) - 1
         oldest = usage_windows.window_of(now - self._bounds.usage_delay, window) - 1
-        due = [w for w in range(oldest, newest + 1) if w not in self._sent_windows]
-        if self._clock.monotonic() >= self._gathered_at:
-            return due
         urgent = now - self._bounds.usage_delay + _DUE_MARGIN
         last_urgent = usage_windows.window_of(urgent, window) - 1
-        return [w for w in due if w in self._counts_by_window or w <= last_urgent]
+        has_gathered = self._clock.monotonic() >= self._gathered_at
+        return [
+            due
+            for due in range(oldest, newest + 1)
+            if due not in self._sent_windows
+            and self._may_send(due, due <= last_urgent, has_gathered)
+        ]
+
+    def _may_send(self, window, is_urgent, has_gathered):
+        """Return whether to wait no longer before a window is sent or left out."""
+        if window in self._counts_by_window:
+            return True
+        if not has_gathered:
+            # A report by a holder that nobody has seen could be repeated differently.
+            return is_urgent and self._reports.has_seen_holder(self._fencing_number)
+        return is_urgent or not self._may_be_reported(window)
 
     def _send(self, window):
         counts = self._final_counts(window)
@@ -184,20 +218,24 @@
         """
         if window in self._counts_by_window:
             return self._counts_by_window[window]
-        counts = self._final.find(window)
-        if counts is None and self._may_be_reported(window):
-            self._write(f"{_PREFIX}{window}", window, _NOT_REPORTED)
+        key = f"{_PREFIX}{window}"
+        if self._may_be_reported(window):
+            self._write(key, window, _UNKNOWN_COUNTS)
             return self._counts_by_window[window]
+        counts = self._final.find(window)
         if counts is None:
             counts = usage_windows.sum_counts(self._reports.counts_by_process(), window)
-        key = f"{_PREFIX}{window}"
         self._write(key, window, msgspec.json.encode(counts))
         return self._counts_by_window[window]
 
     def _may_be_reported(self, window):
-        if window > self._last_lost_window:
+        """Return whether a window may have been reported with counts nobody knows."""
+        if window > self._last_lost_window or self._final.find(window) is not None:
             return False
-        return not self._final.knows_all_before(store.era_of(self._fencing_number))
+        era = store.era_of(self._fencing_number)
+        if not self._reports.have_all_seen_era(era):
+            return True
+        return not self._final.knows_all_before(era)
 
     def _write(self, key, window, value):
         compares = [store.Compare(key, store.Target.MOD, 0)]
@@ -205,17 +243,25 @@
         old = f"{_PREFIX}{window - _RETAINED_WINDOWS}"
         if self._counts_by_window.pop(window - _RETAINED_WINDOWS, None) is not None:
             writes.append(store.Delete(old))
+        with self._final.writing():
+            value, revision = self._create(key, compares, writes, value)
+            if store.era_of(revision) != store.era_of(self._fencing_number):
+                raise errors.LeaseError("the store came back from a copy since")
+            self._counts_by_window[window] = _decode(value)
+            self._record_final(window, self._counts_by_window[window])
+
+    def _create(self, key, compares, writes, value):
+        """Write a key unless it exists; returns its value and a revision with it."""
         try:
-            succeeded = self._store.transact(compares, writes).succeeded
+            result = self._store.transact(compares, writes)
+            if result.succeeded:
+                return value, result.revision
         except errors.StoreUnclearError:
-            succeeded = False
-        if not succeeded:
-            item = self._store.get(key)
-            if item is None:
-                raise errors.StoreUnavailableError(f"{key} was not written")
-            value = item.value
-        self._counts_by_window[window] = _decode(value)
-        self._record_final(window, self._counts_by_window[window])
+            _log.info("unclear whether {} was written", key)
+        item = self._store.get(key)
+        if item is None:
+            raise errors.StoreUnavailableError(f"{key} was not written")
+        return item.value, item.mod_revision
 
     def _record_final(self, window, counts):
         """Keep a window's counts for a store that loses them, unless it has none."""
