Leave out fewer windows after two copies of the store

Cause: a holder that had taken the duties after the first copy and hadn't yet dealt with what was lost told no number, so its successor after the second copy left out windows of which that holder knew everything.

Change: a holder tells its number with the last window that may have been reported with counts that it doesn't know. For later windows it is believed, for earlier ones the last holder of the era before is asked. Hosts of earlier builds still get the number only from a holder that knows all.

--- a/features/steps/usage_progress_steps.py
+++ b/features/steps/usage_progress_steps.py
@@ -70,10 +70,7 @@
             {},
             {},
             {},
-            final_counts_by_window=statement.counts_by_window,
-            closed_number=statement.closed_number,
-            store_era=statement.era,
-            seen_numbers=statement.seen_numbers,
+            **fleet_messages.statement_fields(statement),
         )
 
     def see_holder(self, fencing_number):
--- a/features/usage_fleet.py
+++ b/features/usage_fleet.py
@@ -134,10 +134,7 @@
             {},
             {},
             {},
-            final_counts_by_window=statement.counts_by_window,
-            closed_number=statement.closed_number,
-            store_era=statement.era,
-            seen_numbers=statement.seen_numbers,
+            **fleet_messages.statement_fields(statement),
         )
         return self._as_earlier_build(report) if self.is_earlier_build else report
 
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -391,8 +391,5 @@
             busy_by_service=self._busy.busy_by_service(),
             size_by_customer=self._quotas.sizes(),
             lenders_digest=self._quotas.lenders_digest,
-            final_counts_by_window=statement.counts_by_window,
-            closed_number=statement.closed_number,
-            store_era=statement.era,
-            seen_numbers=statement.seen_numbers,
+            **fleet_messages.statement_fields(statement),
         )
--- a/src/peridothitch/gateway/forwarding/final_counts.py
+++ b/src/peridothitch/gateway/forwarding/final_counts.py
@@ -12,7 +12,6 @@
 hosts together; each tells the numbers that it has seen.
 """
 
-import collections
 import contextlib
 import dataclasses
 import threading
@@ -34,9 +33,12 @@
     ----------
     counts_by_window : dict of int to dict of str to int
         Final counts that the process found in the store or wrote there.
-    closed_number : int
-        Fencing number under which it held the duties in an era that has ended; 0 if
-        there is none, or if it doesn't know the counts of all windows before.
+    ended_number : int
+        Fencing number under which it held the duties last, in an era that has ended; 0
+        if there is none.
+    unknown_window : int
+        Last window that may have been reported, under this or an earlier number, with
+        counts that it doesn't know; 0 if there is none.
     era : int
         Era of the store that it knows of; 0 while it is writing counts.
     seen_numbers : tuple of int
@@ -44,10 +46,16 @@
     """
 
     counts_by_window: dict
-    closed_number: int = 0
+    ended_number: int = 0
+    unknown_window: int = 0
     era: int = 0
     seen_numbers: tuple = ()
 
+    @property
+    def complete_number(self):
+        """The ended number if the counts of all windows are known, 0 otherwise."""
+        return 0 if self.unknown_window else self.ended_number
+
 
 class FinalCounts:
     """Final counts of the last windows, as far as this host knows."""
@@ -56,10 +64,10 @@
         self._lock = threading.Lock()
         self._own_by_window = {}
         self._received_by_window = {}
-        self._closed_numbers = collections.deque(maxlen=_RETAINED_NUMBERS)
+        self._unknown_by_ended = {}
         self._seen_number_by_era = {}
         self._held_number = 0
-        self._is_complete = False
+        self._unknown_window = 0
         self._is_writing = False
 
     def find(self, window):
@@ -68,19 +76,26 @@
             own = self._own_by_window.get(window)
             return own if own is not None else self._received_by_window.get(window)
 
-    def begin_term(self, number):
-        """Record that this process holds the duties under a fencing number."""
+    def begin_term(self, number, unknown_window):
+        """Record that this process holds the duties under a fencing number.
+
+        Parameters
+        ----------
+        number : int
+        unknown_window : int
+            See `Statement`.
+        """
         with self._lock:
-            if self._is_complete:
-                self._add_closed(self._held_number)
+            if self._held_number:
+                self._add_ended(self._held_number, self._unknown_window)
             self._held_number = number
-            self._is_complete = False
+            self._unknown_window = unknown_window
             self._add_seen(number)
 
-    def set_complete(self, is_complete):
-        """Record whether this holder knows the counts of all windows reported."""
+    def set_unknown_window(self, window):
+        """Record up to which window this holder doesn't know all counts."""
         with self._lock:
-            self._is_complete = is_complete
+            self._unknown_window = window
 
     @contextlib.contextmanager
     def writing(self):
@@ -113,10 +128,9 @@
                 _add(self._received_by_window, window, count_by_customer)
             for number in statement.seen_numbers:
                 self._add_seen(number)
-            # Hosts of earlier builds tell no era, and their number in the era itself.
-            closed = statement.closed_number
-            if closed and store.era_of(closed) < statement.era:
-                self._add_closed(closed)
+            ended = statement.ended_number
+            if ended and store.era_of(ended) < statement.era:
+                self._add_ended(ended, statement.unknown_window)
 
     def statement(self, era):
         """Return this process's `Statement`.
@@ -127,21 +141,21 @@
             Era of the store that this host knows of.
         """
         with self._lock:
-            is_closed = self._is_complete and store.era_of(self._held_number) < era
+            may_tell = not self._is_writing and store.era_of(self._held_number) < era
             return Statement(
                 counts_by_window=dict(self._own_by_window),
-                closed_number=(
-                    self._held_number if is_closed and not self._is_writing else 0
-                ),
+                ended_number=self._held_number if may_tell else 0,
+                unknown_window=self._unknown_window,
                 era=0 if self._is_writing else era,
                 seen_numbers=tuple(self._seen_number_by_era.values()),
             )
 
-    def knows_all_before(self, era):
-        """Return whether the last holder before an era has told all its counts.
+    def is_unreported(self, window, era):
+        """Return whether no holder before an era has reported a window.
 
-        Windows of which it told nothing were not reported, then. Whether a later holder
-        was seen by others is known once all of them have reported in the era.
+        It has no counts that anybody tells. The last holder of each era is asked in
+        turn, since it knows what the era's others have reported. Whether others have
+        seen a later holder is known once all of them have reported in the era.
         """
         with self._lock:
             before = [
@@ -149,11 +163,18 @@
                 for number_era, number in self._seen_number_by_era.items()
                 if number_era < era
             ]
-            return bool(before) and max(before) in self._closed_numbers
-
-    def _add_closed(self, number):
-        if number not in self._closed_numbers:
-            self._closed_numbers.append(number)
+            for number in sorted(before, reverse=True):
+                unknown_window = self._unknown_by_ended.get(number)
+                if unknown_window is None:
+                    return False
+                if unknown_window < window:
+                    return True
+            return False
+
+    def _add_ended(self, number, unknown_window):
+        self._unknown_by_ended[number] = unknown_window
+        while len(self._unknown_by_ended) > _RETAINED_NUMBERS:
+            del self._unknown_by_ended[min(self._unknown_by_ended)]
 
     def _add_seen(self, number):
         if not number:
--- a/src/peridothitch/gateway/forwarding/fleet_messages.py
+++ b/src/peridothitch/gateway/forwarding/fleet_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["FleetView", "HostReport", "ProcessCounts"]
+__all__ = ["FleetView", "HostReport", "ProcessCounts", "statement_fields"]
 
 
 class ProcessCounts(msgspec.Struct, frozen=True, array_like=True):
@@ -42,13 +42,16 @@
         Digest of the lenders that this host knows, 0 if it knows none.
     final_counts_by_window : dict of int to dict of str to int
         Counts that this host has reported to the platform as the holder of the duties.
-    closed_number : int
-        Fencing number under which this process held them in an era of the store that
-        has ended; 0 if there is none, or if it doesn't know all counts before.
+    complete_number : int
+        Fencing number under which this process held them last, in an era of the store
+        that has ended; 0 if there is none, or if it doesn't know all counts until then.
+        Hosts of earlier builds send it in the era, too.
     store_era : int
         Era of the store that this host knows of; hosts of earlier builds tell 0.
     seen_numbers : tuple of int
         Highest fencing number of a holder that it has seen in each of the last eras.
+    ended_number, unknown_window : int
+        See `peridothitch.gateway.forwarding.final_counts.Statement`.
     """
 
     host_id: str
@@ -64,9 +67,23 @@
     size_by_customer: dict[str, float] = {}
     lenders_digest: int = 0
     final_counts_by_window: dict[int, dict[str, int]] = {}
-    closed_number: int = 0
+    complete_number: int = 0
     store_era: int = 0
     seen_numbers: tuple[int, ...] = ()
+    ended_number: int = 0
+    unknown_window: int = 0
+
+
+def statement_fields(statement):
+    """Return the fields of a `HostReport` that tell a `final_counts.Statement`."""
+    return {
+        "final_counts_by_window": statement.counts_by_window,
+        "complete_number": statement.complete_number,
+        "store_era": statement.era,
+        "seen_numbers": statement.seen_numbers,
+        "ended_number": statement.ended_number,
+        "unknown_window": statement.unknown_window,
+    }
 
 
 class FleetView(msgspec.Struct, frozen=True, array_like=True):
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -344,7 +344,8 @@
 def _statement(report):
     return final_counts.Statement(
         counts_by_window=report.final_counts_by_window,
-        closed_number=report.closed_number,
+        ended_number=report.ended_number,
+        unknown_window=report.unknown_window,
         era=report.store_era,
         seen_numbers=report.seen_numbers,
     )
--- a/src/peridothitch/gateway/forwarding/usage_duty.py
+++ b/src/peridothitch/gateway/forwarding/usage_duty.py
@@ -100,9 +100,7 @@
             self._send(window)
         if not self._is_era_recorded and not self._has_lost_windows():
             self._write_era()
-        self._final.set_complete(
-            self._is_era_recorded and None not in self._counts_by_window.values()
-        )
+        self._final.set_unknown_window(self._unknown_window())
         self._progress.save(self._oldest_window())
 
     def _begin_term(self, fencing_number):
@@ -120,11 +118,17 @@
             settled = self._shared_clock.now() - _SETTLE_TIME + _MAX_CLOCK_ERROR
             window = usage_windows.window_of(settled, self._bounds.usage_window)
             self._last_lost_window = window - 1
-        self._final.begin_term(fencing_number)
+        self._final.begin_term(fencing_number, self._unknown_window())
         self._fencing_number = fencing_number
         self._sent_windows.clear()
         self._gathered_at = self._clock.monotonic() + _GATHER_TIME
 
+    def _unknown_window(self):
+        """Return the last window that may be reported with counts unknown here."""
+        lost = 0 if self._is_era_recorded else self._last_lost_window
+        left_out = [w for w, c in self._counts_by_window.items() if c is None]
+        return max([lost, *left_out])
+
     def _read_era(self):
         """Return the era whose counts the store has, None if it has no record."""
         item = self._store.get(_ERA_KEY)
@@ -235,7 +239,7 @@
         era = store.era_of(self._fencing_number)
         if not self._reports.have_all_seen_era(era):
             return True
-        return not self._final.knows_all_before(era)
+        return not self._final.is_unreported(window, era)
 
     def _write(self, key, window, value):
         compares = [store.Compare(key, store.Target.MOD, 0)]
