Bound the work that an upstream's responses cause

Cause: EventSplitter searched all that was pending again with each piece, which grows with the square of the event; http.client makes several reads for each chunk; and an upstream that sends without a pause was read as fast as it sent.

Ruled out: the callers' side, since payments are late also beside callers that read nothing; the test's own processor time, by sending from few large buffers.

Change: bytes are searched once, chunks are decoded many at a time, and WorkPace reads a response less often once its pieces, or all responses of its service, have caused more work than a fair share.

--- /dev/null
+++ b/features/endless_load.feature
@@ -0,0 +1,24 @@
+Feature: Many responses without end leave a host's processor to other requests
+
+  Background:
+    Given a platform whose replicas of "model" send responses without end
+    And a replica of "till" that answers
+    And an entry host as a process of its own
+
+  Scenario Outline: Payments wait behind many responses without end
+    When <count> callers that <pace> get responses without end in the <place>
+    And payments are sent beside them for 4 seconds
+    Then every payment got 200 within 1.5 seconds
+
+    Examples:
+      | count | pace       | place                       |
+      | 60    | read       | headers                     |
+      | 60    | don't read | response to another request |
+      | 100   | don't read | body without length         |
+      | 40    | read       | body without length         |
+      | 100   | don't read | body in chunks              |
+      | 60    | don't read | body of a failure           |
+      | 100   | don't read | event of a stream           |
+      | 60    | don't read | events of a stream          |
+      | 40    | read       | chunks of one byte          |
+      | 40    | read       | event in chunks of 45 bytes |
--- a/features/steps/endless_responses_steps.py
+++ b/features/steps/endless_responses_steps.py
@@ -25,19 +25,19 @@
 _MEGABYTE = 1 << 20
 _REPLICA_COUNT = 2
 _MAX_REQUESTS = 40
-_HEAD = (
+HEAD = (
     b"HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: {id}\r\n"
     b"Peridothitch-Response-Signature: 3e1b\r\n"
 )
-_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+_CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 _FILLER = b"x" * 4096
 _LAST_CHUNK = b"0\r\n\r\n"
 _CHUNK = b"1000\r\n" + _FILLER + b"\r\n"
-_RESPONSE_BY_PLACE = {
+RESPONSE_BY_PLACE = {
     "status line": (b"", _FILLER),
     "status line after its beginning": (b"HTTP/1.1 200 ", _FILLER),
-    "header line": (_HEAD + b"X-Filler: ", _FILLER),
-    "headers": (_HEAD, b"X-Filler: 1\r\n" * 8),
+    "header line": (HEAD + b"X-Filler: ", _FILLER),
+    "headers": (HEAD, b"X-Filler: 1\r\n" * 8),
     "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 16),
     "response to another request": (
         b"HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: another\r\n\r\n",
@@ -45,16 +45,16 @@
     ),
     "line with the size of a chunk": (_CHUNKED, b"0" * 4096),
     "trailer": (_CHUNKED + b"0\r\n", b"X-Filler: 1\r\n" * 256),
-    "body without length": (_HEAD + b"\r\n", _FILLER),
+    "body without length": (HEAD + b"\r\n", _FILLER),
     "body in chunks": (_CHUNKED, _CHUNK),
-    "body of 100 gigabytes": (_HEAD + b"Content-Length: 107374182400\r\n\r\n", _FILLER),
+    "body of 100 gigabytes": (HEAD + b"Content-Length: 107374182400\r\n\r\n", _FILLER),
     "body of a refusal": (
         b"HTTP/1.1 503 Full\r\nPeridothitch-Attempt-Id: {id}\r\n"
         b"Peridothitch-Not-Executed: 1\r\n\r\n",
         _FILLER,
     ),
     "event of a stream": (
-        _HEAD + b"Content-Type: text/event-stream\r\n\r\ndata: ",
+        HEAD + b"Content-Type: text/event-stream\r\n\r\ndata: ",
         _FILLER,
     ),
 }
@@ -70,8 +70,8 @@
     return replica_id
 
 
-@behave.given('a platform whose replicas of "till" send responses without end')
-def start_platform(context):
+@behave.given('a platform whose replicas of "{service}" send responses without end')
+def start_platform(context, service):
     context.bench = benches.ForwardingBench()
     context.add_cleanup(context.bench.close)
     context.bench.configure()
@@ -91,7 +91,7 @@
 
 @behave.when("the responses have no end in the {place}")
 def set_place(context, place):
-    _start_servers(context, *_RESPONSE_BY_PLACE[place])
+    _start_servers(context, *RESPONSE_BY_PLACE[place])
 
 
 @behave.when("the responses are slow bytes that are no response")
@@ -223,7 +223,7 @@
 
 @behave.when("{callee} sends a response without end in the {place}")
 def call(context, callee, place):
-    response = _RESPONSE_BY_PLACE[_PLACE_BY_NAME.get(place, place)]
+    response = RESPONSE_BY_PLACE[_PLACE_BY_NAME.get(place, place)]
     server = endless_server.EndlessServer(*response)
     context.add_cleanup(server.close)
     context.servers.append(server)
--- a/src/peridothitch/adapters/raw_transport.py
+++ b/src/peridothitch/adapters/raw_transport.py
@@ -4,7 +4,8 @@
 import http.client
 import threading
 
-from peridothitch import bounded_reader, errors, sockets
+from peridothitch import bounded_reader, chunked_body, errors, sockets
+from peridothitch.policy import work_pace
 from peridothitch.ports import raw
 
 __all__ = ["HttpRawTransport"]
@@ -22,6 +23,7 @@
 _READ_BYTES = 1 << 16
 _MAX_RESPONSE_HEADS = 2
 _RESPONSE_PREFIX = b"HTTP/1."
+_EVENT_STREAM_TYPE = "text/event-stream"
 _NO_TIME = datetime.timedelta(0)
 _DEFAULT_LIMITS = raw.ResponseLimits()
 
@@ -90,6 +92,8 @@
         self._header_codec = header_codec
         self._metrics = metrics
         self._pool = _Pool()
+        self._lock = threading.Lock()
+        self._pace_by_service = {}
         self._record_connection = _ignore
 
     def observe_connections(self, callback):
@@ -102,7 +106,14 @@
         connection = self._pool.acquire(key, self._clock.monotonic())
         if connection is None:
             connection = self._connect(host, call)
-        raw_response = _Response(self._pool, key, connection, self._clock, self._limits)
+        raw_response = _Response(
+            self._pool,
+            key,
+            connection,
+            self._clock,
+            self._limits,
+            self._find_pace(host.service),
+        )
         on_cancel(raw_response.cancel)
         try:
             self._send(connection, call)
@@ -114,6 +125,14 @@
             ) from None
         return raw_response
 
+    def _find_pace(self, service):
+        with self._lock:
+            pace = self._pace_by_service.get(service)
+            if pace is None:
+                pace = work_pace.for_service(self._clock.monotonic())
+                self._pace_by_service[service] = pace
+            return pace
+
     def is_down(self, host):
         """Check the idle connections; if none is alive, open a new one."""
         idle = self._pool.pop_all(_pool_key(host))
@@ -151,6 +170,11 @@
 
     def retain_connections(self, hosts):
         """Close the idle connections to all but the given hosts."""
+        hosts = tuple(hosts)
+        services = {host.service for host in hosts}
+        with self._lock:
+            for service in self._pace_by_service.keys() - services:
+                del self._pace_by_service[service]
         retained = {_pool_key(host) for host in hosts}
         for key in self._pool.keys() - retained:
             for connection in self._pool.pop_all(key):
@@ -219,15 +243,20 @@
 
 
 class _Response(raw.RawResponse):
-    def __init__(self, pool, key, connection, clock, limits):
+    def __init__(self, pool, key, connection, clock, limits, service_pace):
         self._limits = limits
+        self._service_pace = service_pace
         self._pool = pool
         self._key = key
         self._connection = connection
         self._clock = clock
         self._lock = threading.Lock()
         self._released = False
+        self._cancelled = threading.Event()
         self._response = None
+        self._chunks = None
+        self._is_stream = False
+        self._pace = None
 
     def read_head(self, method, header_codec, request_id):
         """Read heads until one belongs to the request.
@@ -262,6 +291,11 @@
         if (response.length or 0) > self._limits.body_bytes:
             raise bounded_reader.SizeLimitError(self._limits.body_bytes)
         reader.allow(self._limits.body_bytes, self._limits.head_bytes)
+        if response.chunked and response.length is None:
+            self._chunks = chunked_body.ChunkedBody(reader)
+        content_type = response.headers.get("content-type", "").lower()
+        self._is_stream = content_type.startswith(_EVENT_STREAM_TYPE)
+        self._pace = work_pace.for_response(self._clock.monotonic())
 
     def set_deadline(self, deadline):
         self._connection.reader.deadline = deadline
@@ -270,8 +304,9 @@
         if self._is_complete():
             self._release()
             return b""
+        self._wait_for_pace()
         try:
-            data = self._response.read1(_READ_BYTES)
+            data = self._read()
         except (OSError, http.client.HTTPException, ValueError) as error:
             self.cancel()
             raise errors.UpstreamError(
@@ -289,10 +324,32 @@
         self._release()
         return b""
 
+    def _wait_for_pace(self):
+        now = self._clock.monotonic()
+        delay = max(self._pace.delay(now), self._service_pace.delay(now))
+        deadline = self._connection.reader.deadline
+        if deadline is not None:
+            delay = min(delay, deadline - now)
+        if delay > _NO_TIME:
+            self._clock.wait(self._cancelled, delay)
+
+    def _read(self):
+        if self._chunks is None:
+            data, chunk_count = self._response.read1(_READ_BYTES), 0
+        else:
+            data, chunk_count = self._chunks.read_some(_READ_BYTES)
+        event_count = 0
+        if self._is_stream:
+            event_count = data.count(b"\n\n") + data.count(b"\n\r\n")
+        work, bytes_work = work_pace.work_of_read(len(data), chunk_count, event_count)
+        self._pace.spend(work)
+        self._service_pace.spend(work + bytes_work)
+        return data
+
     def _is_complete(self):
         response = self._response
-        if response.chunked:
-            return response.isclosed()
+        if self._chunks is not None:
+            return self._chunks.is_complete
         if response.length is not None:
             return not response.length
         return response.isclosed() or self._connection.reader.at_end
@@ -304,6 +361,7 @@
         """Close the connection unless the response was read to its end."""
         with self._lock:
             released, self._released = self._released, True
+        self._cancelled.set()
         if not released:
             self._connection.close()
 
--- a/src/peridothitch/bounded_reader.py
+++ b/src/peridothitch/bounded_reader.py
@@ -57,12 +57,14 @@
         Longest wait for further bytes. If neither is set, the socket's timeout applies.
     at_end : bool
         Whether the server has closed its side of the connection.
+    buffer : bytearray
+        Bytes that were received and not consumed; changed by `consume` and `fill` only.
     """
 
     def __init__(self, sock, clock):
         self._sock = sock
         self._clock = clock
-        self._buffer = bytearray()
+        self.buffer = bytearray()
         self._limit = self._allowance = 0
         self._line_limit = self._line_allowance = 0
         self.deadline = None
@@ -90,14 +92,14 @@
     @property
     def has_buffered(self):
         """Whether bytes were received that no response has consumed."""
-        return bool(self._buffer)
+        return bool(self.buffer)
 
     def may_start_with(self, prefix):
         """Return whether the next bytes are `prefix`, or the connection ends before."""
-        while len(self._buffer) < len(prefix) and prefix.startswith(self._buffer):
-            if not self._fill():
+        while len(self.buffer) < len(prefix) and prefix.startswith(self.buffer):
+            if not self.fill():
                 return True
-        return self._buffer.startswith(prefix)
+        return self.buffer.startswith(prefix)
 
     def readline(self, limit=-1):
         """Return a line of at most `limit` bytes.
@@ -109,13 +111,15 @@
             would take that for the end of a head.
         """
         max_bytes = limit if limit >= 0 else _MAX_LINE_BYTES
+        searched = 0
         while True:
-            end = self._buffer.find(b"\n") + 1
-            if end or len(self._buffer) >= max_bytes:
+            end = self.buffer.find(b"\n", searched) + 1
+            searched = len(self.buffer)
+            if end or searched >= max_bytes:
                 break
-            if not self._fill():
-                raise http.client.IncompleteRead(bytes(self._buffer))
-        line = self._consume(min(end or max_bytes, max_bytes))
+            if not self.fill():
+                raise http.client.IncompleteRead(bytes(self.buffer))
+        line = self.consume(min(end or max_bytes, max_bytes))
         self._line_allowance -= len(line)
         if self._line_allowance < 0:
             raise SizeLimitError(self._line_limit)
@@ -125,20 +129,20 @@
         """Return `size` bytes, or all until the server closes the connection."""
         if size > self._allowance:
             raise SizeLimitError(self._limit)
-        while size < 0 or len(self._buffer) < size:
-            if not self._fill():
+        while size < 0 or len(self.buffer) < size:
+            if not self.fill():
                 break
-        return self._consume_body(len(self._buffer) if size < 0 else size)
+        return self._consume_body(len(self.buffer) if size < 0 else size)
 
     def read1(self, size=-1):
         """Return at most `size` bytes with at most one read from the socket."""
-        if not self._buffer:
-            self._fill()
-        return self._consume_body(len(self._buffer) if size < 0 else size)
+        if not self.buffer:
+            self.fill()
+        return self._consume_body(len(self.buffer) if size < 0 else size)
 
     def _consume_body(self, size):
         self._line_allowance = self._line_limit
-        return self._consume(size)
+        return self.consume(size)
 
     def readinto(self, target):
         """Fill `target`; returns the number of bytes."""
@@ -146,8 +150,9 @@
         target[: len(data)] = data
         return len(data)
 
-    def _fill(self):
-        if len(self._buffer) > self._allowance:
+    def fill(self):
+        """Wait for further bytes; returns whether there were any."""
+        if len(self.buffer) > self._allowance:
             raise SizeLimitError(self._limit)
         waits = []
         if self.max_wait is not None:
@@ -159,13 +164,14 @@
         if waits:
             self._sock.settimeout(min(waits).total_seconds())
         data = self._sock.recv(_READ_BYTES)
-        self._buffer += data
+        self.buffer += data
         self.at_end = not data
         return bool(data)
 
-    def _consume(self, size):
-        data = bytes(self._buffer[:size])
-        del self._buffer[:size]
+    def consume(self, size):
+        """Remove bytes from the buffer and return them."""
+        data = bytes(self.buffer[:size])
+        del self.buffer[:size]
         self._allowance -= len(data)
         if self._allowance < 0:
             raise SizeLimitError(self._limit)
