Bound what all responses hold together

An upstream that sends bodies without end took a host past its memory while many callers were waiting for them; the requests of all callers there would end with it.

Cause: a body is held up to 1 MB before it is forwarded, and a caller's connection took another megabyte, for each request; nothing bounded them together. A response to another request was read up to 1 MB, an answer of the platform up to 64 MB.

Change: HeldBytes counts what responses hold beyond 64 KB each. Bodies are passed on in parts, and callers' connections take 64 KB.

The bound of the test is four fifths of the memory of the smallest hosts.

--- a/features/endless_load.feature
+++ b/features/endless_load.feature
@@ -1,14 +1,15 @@
-Feature: Many responses without end leave a host's processor to other requests
+Feature: Many responses without end leave a host's memory and processor to other requests
 
   Background:
     Given a platform whose replicas of "model" send responses without end
     And a replica of "till" that answers
     And an entry host as a process of its own
 
-  Scenario Outline: Payments wait behind many responses without end
+  Scenario Outline: A host runs out of memory under many responses without end
     When <count> callers that <pace> get responses without end in the <place>
     And payments are sent beside them for 4 seconds
-    Then every payment got 200 within 1.5 seconds
+    Then the process used less than 160 megabytes at any time
+    And every payment got 200 within 1.5 seconds
 
     Examples:
       | count | pace       | place                       |
--- a/src/peridothitch/gateway/forwarding/attempt.py
+++ b/src/peridothitch/gateway/forwarding/attempt.py
@@ -28,6 +28,8 @@
     record_usage : callable
         Called with a `Job` and the monotonic time at which it started running.
     moves : peridothitch.gateway.forwarding.version_moves.VersionMoves
+    held_bytes : peridothitch.policy.held_bytes.HeldBytes
+        Bytes of responses that are held for all requests.
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
     """
@@ -41,6 +43,7 @@
     part_guard: object
     record_usage: object
     moves: object
+    held_bytes: object
     clock: object
     metrics: object
 
--- a/src/peridothitch/gateway/forwarding/delivery.py
+++ b/src/peridothitch/gateway/forwarding/delivery.py
@@ -6,15 +6,25 @@
 
 from peridothitch import errors
 from peridothitch.gateway.forwarding import retrying_sender
-from peridothitch.policy import event_stream
+from peridothitch.policy import event_stream, held_bytes
 
 __all__ = ["deliver"]
 
 _EVENT_STREAM_TYPE = "text/event-stream"
 _MAX_BUFFERED_BYTES = 1 << 20
-"""A body up to this size is forwarded only after it has arrived completely."""
+"""A body up to this size is forwarded only after it has arrived completely.
+
+A request whose body breaks off may then be sent again. Where the process holds too many
+bytes already, smaller bodies are forwarded as they arrive, too.
+"""
 
 _MAX_EVENT_BYTES = 1 << 20
+_FREE_BYTES = 64 << 10
+"""Every response may hold as much, whatever the others hold."""
+
+_WRITE_BYTES = 32 << 10
+"""Size of the parts in which a body is passed to the caller's connection."""
+
 _BAD_GATEWAY_STATUS = 502
 _log = logbook.Logger("forwarding")
 
@@ -85,21 +95,25 @@
     answer = attempt.answer
     attempt.record_first_byte()
     sender.record_start(attempt.sent_at)
-    body = bytearray()
     head = _head(deps, answer)
     is_head = job.request.method == "HEAD"
-    while data := answer.read_some():
-        body += data
-        if len(body) <= _MAX_BUFFERED_BYTES:
-            continue
+    body = bytearray()
+    holding = held_bytes.Holding(deps.held_bytes, job.service, _FREE_BYTES)
+    try:
+        while data := answer.read_some():
+            body += data
+            if len(body) <= _MAX_BUFFERED_BYTES and holding.resize(len(body)):
+                continue
+            if not response_writer.has_begun:
+                response_writer.begin(*head, answer.length)
+            _write(response_writer, body)
+            holding.release()
         if not response_writer.has_begun:
-            response_writer.begin(*head, answer.length)
-        response_writer.write(bytes(body))
-        body.clear()
-    if not response_writer.has_begun:
-        length = answer.length if is_head else len(body)
-        response_writer.begin(*head, length)
-    response_writer.write(bytes(body))
+            length = answer.length if is_head else len(body)
+            response_writer.begin(*head, length)
+        _write(response_writer, body)
+    finally:
+        holding.release()
     response_writer.end()
     attempt.complete()
     if not job.need.prompt_tokens:
@@ -107,6 +121,14 @@
     return head[0]
 
 
+def _write(response_writer, body):
+    """Write a bytearray in parts and empty it; waits for a caller that reads slowly."""
+    while body:
+        part = bytes(body[:_WRITE_BYTES])
+        del body[:_WRITE_BYTES]
+        response_writer.write(part)
+
+
 class _StreamForwarder:
     """Forwards one stream of events, from one upstream or several in turn."""
 
@@ -156,13 +178,16 @@
 
     def _forward_events(self, attempt):
         splitter = event_stream.EventSplitter()
+        service = self._job.service
+        holding = held_bytes.Holding(self._deps.held_bytes, service, _FREE_BYTES)
         try:
             while data := attempt.answer.read_some():
                 events = splitter.feed(data)
-                if len(splitter.pending) > _MAX_EVENT_BYTES:
+                size = splitter.pending_size
+                if size > _MAX_EVENT_BYTES or not holding.resize(size):
                     raise errors.UpstreamError(
                         errors.Code.ANSWER_INVALID,
-                        f"an event is over {_MAX_EVENT_BYTES} bytes",
+                        f"an event has no end after {size} bytes",
                         errors.Ran.UNKNOWN,
                     )
                 if events:
@@ -177,6 +202,7 @@
                 self._begin(attempt)
             self._response_writer.write(splitter.pending)
         finally:
+            holding.release()
             attempt.release()
 
     def _begin(self, attempt):
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -34,7 +34,7 @@
     usage_counter,
     version_moves,
 )
-from peridothitch.policy import admission
+from peridothitch.policy import admission, held_bytes
 
 __all__ = ["ForwardingHost"]
 
@@ -216,6 +216,7 @@
             part_guard=self._part_guard,
             record_usage=self._usage.record,
             moves=self._moves,
+            held_bytes=held_bytes.HeldBytes(),
             clock=self._clock,
             metrics=self.metrics,
         )
--- a/src/peridothitch/platform/client.py
+++ b/src/peridothitch/platform/client.py
@@ -19,8 +19,8 @@
 _MAX_IDLE_CONNECTIONS = 4
 """More calls than that are rarely in progress at once."""
 
-_MAX_ANSWER_BYTES = 64 << 20
-"""Above the largest configuration by a wide margin."""
+_MAX_ANSWER_BYTES = 16 << 20
+"""Above the largest configuration; several answers at once have to fit into memory."""
 
 _MAX_TRANSFER_TIME = datetime.timedelta(seconds=30)
 """Time for the rest of an answer whose first byte has arrived."""
--- a/src/peridothitch/ports/raw.py
+++ b/src/peridothitch/ports/raw.py
@@ -143,7 +143,7 @@
 
     head_bytes: int = 64 << 10
     body_bytes: int = 64 << 20
-    discarded_bytes: int = 1 << 20
+    discarded_bytes: int = 64 << 10
 
 
 class RawResponse(abc.ABC):
