Test connections to upstreams that are silent for good

Each may cost one request, so no more requests may fail than connections were silent, and nothing may run twice.

--- a/features/host_links.py
+++ b/features/host_links.py
@@ -13,14 +13,20 @@
 
     Ways to cut it: ``hang``, nothing comes through and new connections are not
     answered; ``reset``, open connections are reset and new ones refused; ``refuse``,
-    open connections live on and new ones are refused.
+    open connections live on and new ones are refused; ``fall silent``, nothing comes
+    through open connections and new ones work.
     """
 
     def __init__(self, target):
         super().__init__(target)
         self._blockers = []
+        self.silenced_count = 0
 
     def cut(self, way):
+        if way == "fall silent":
+            self.silenced_count = len(self._socket_pairs)
+            self.apply("silent")
+            return
         self._stop_listening()
         if way == "hang":
             self.apply("silent")
@@ -84,6 +90,11 @@
             for link in self._link_by_address.values():
                 link.cut(way)
 
+    @property
+    def silenced_count(self):
+        """Number of open connections that have fallen silent."""
+        return sum(link.silenced_count for link in self._link_by_address.values())
+
     def heal(self):
         """Let the host reach all upstreams again."""
         with self._lock:
--- a/features/lost_paths.feature
+++ b/features/lost_paths.feature
@@ -123,3 +123,12 @@
       | send    | till-a/born | soon | 400    | 1001 | not sent |
       | send    | till-a/born | 0    | 502    | 3002 | not sent |
       | check   | nobody/1    | 500  | 503    | 4004 | failed   |
+
+  Scenario: Connections that are silent for good are used again and again
+    Given a platform with the replicas "a" and "b" of each service
+    And the entry hosts "edge-1, edge-2" with links of their own
+    And callers have used all routes of "edge-1"
+    When the links of "edge-1" to all upstreams fall silent
+    And callers send 20 requests a second of all routes to "edge-1" for 6 s
+    Then no more requests of "edge-1" failed than connections were silent
+    And no request that may run only once ran twice
--- a/features/steps/lost_paths_steps.py
+++ b/features/steps/lost_paths_steps.py
@@ -123,6 +123,15 @@
     return sent.path, sent.response.status, sent.response.body[-200:]
 
 
+@behave.then('no more requests of "{host_id}" failed than connections were silent')
+def check_silent_connections(context, host_id):
+    silenced = context.links_by_id[host_id].silenced_count
+    assert silenced >= len(context.bench.replica_by_id)
+    answers = [_outcome(sent) for sent in context.sent]
+    failed = [outcome for outcome in answers if outcome[1] != 200]
+    assert len(failed) <= silenced, (silenced, failed)
+
+
 @behave.then("from {seconds:d} s on the callers got 200 each time")
 def check_served(context, seconds):
     late = [sent for sent in context.sent if sent.after_seconds >= seconds]
