--- a/features/steps/endless_load_steps.py
+++ b/features/steps/endless_load_steps.py
@@ -20,6 +20,9 @@
 _PATIENCE_SECONDS = 3.0
 _SEND_BYTES = 64 << 10
 _DEADLINE_MS = "20000"
+_INCARNATION = 1
+"""Start of the replicas, by `platform_records.host_record`."""
+
 _HEAD = endless_responses_steps.HEAD
 _CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 _EVENT = b"data: %b\n\n" % (b"x" * 492)
@@ -42,6 +45,24 @@
 
 @behave.when("{count:d} callers that {pace} get responses without end in the {place}")
 def start_callers(context, count, pace, place):
+    _start_servers(context, place)
+    benches.wait_until(lambda: _reaches_server(context), "the replicas are known")
+    for number in range(count):
+        _read_if(pace, _call(context, number))
+
+
+@behave.when(
+    "{count:d} calls of other hosts that {pace} get responses without end in the"
+    " {place}"
+)
+def start_calls_of_hosts(context, count, pace, place):
+    _start_servers(context, place)
+    benches.wait_until(lambda: _reaches_server(context), "the replicas are known")
+    for number in range(count):
+        _read_if(pace, _call_through(context, number))
+
+
+def _start_servers(context, place):
     for number in range(_REPLICA_COUNT):
         beginning, repeated = _RESPONSE_BY_PLACE[place]
         # Small sends would keep the processor of the test busy.
@@ -52,11 +73,28 @@
         record = platform_records.host_record(server.address, "model", "lothian-a")
         context.bench.store.put(f"servers/model-endless-{number}", record)
     benches.wait_until(lambda: _pay(context, 0)[0] == 200, "payments are answered")
-    benches.wait_until(lambda: _reaches_server(context), "the replicas are known")
-    for number in range(count):
-        sock = _call(context, number)
-        if pace == "read":
-            threading.Thread(target=_read_all, args=(sock,), daemon=True).start()
+
+
+def _read_if(pace, sock):
+    if pace == "read":
+        threading.Thread(target=_read_all, args=(sock,), daemon=True).start()
+
+
+def _call_through(context, number):
+    """Send a call as another entry host does that has lost its path."""
+    lines = [
+        f"POST /planner/{number} HTTP/1.1",
+        "Entry-Purpose: send",
+        f"Entry-Upstream: model-endless-{number % _REPLICA_COUNT}/{_INCARNATION}",
+        f"Entry-Wait-Ms: {_DEADLINE_MS}",
+        f"Host: {benches.HOST_NAME}",
+        f"Peridothitch-Attempt-Id: through-{number}",
+        "Content-Length: 0",
+    ]
+    sock = socket.create_connection(("127.0.0.1", context.ports["helper"]))
+    context.add_cleanup(sock.close)
+    sock.sendall("\r\n".join([*lines, "", ""]).encode())
+    return sock
 
 
 def _call(context, number):
@@ -126,3 +164,9 @@
         for status, elapsed in context.payments
         if status != 200 or elapsed >= seconds
     ]
+
+
+@behave.then("each replica has sent responses without end")
+def check_servers(context):
+    sent = [server.sent_bytes for server in context.servers]
+    assert min(sent) >= _SEND_BYTES, sent
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -46,8 +46,23 @@
 """
 
 
+_HELPER_SETTINGS = """
+ip = "127.0.0.1"
+internal_ports = [{helper}, {helper}]
+"""
+
+
 @behave.given("an entry host as a process of its own")
 def start_process(context):
+    _start(context, _SETTINGS)
+
+
+@behave.given("an entry host that helps others as a process of its own")
+def start_helping_process(context):
+    _start(context, _HELPER_SETTINGS + _SETTINGS)
+
+
+def _start(context, settings):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.path = pathlib.Path(folder.name, "settings.toml")
@@ -56,8 +71,9 @@
         "front": processes.free_port(),
         "ready": processes.free_port(),
         "store": context.bench.store_port,
+        "helper": processes.free_port(),
     }
-    context.path.write_text(_SETTINGS.format(grace=1, **context.ports))
+    context.path.write_text(settings.format(grace=1, **context.ports))
     command = [sys.executable, "-m", "peridothitch", "forward"]
     with context.log.open("wb") as log:
         context.process = subprocess.Popen(
