Check forwarding rules before they are sent

Weighed: part of `config check`; that checks the document of `serve`, which has other sections and another store. Homes and cold upstreams are not checked yet.

--- a/src/peridothitch/cli/exit_codes.py
+++ b/src/peridothitch/cli/exit_codes.py
@@ -18,6 +18,7 @@
     UNCLEAR = 5
     DIFFERS = 6
     UNDONE = 7
+    DOUBTFUL = 8
 
     @property
     def meaning(self):
@@ -34,6 +35,7 @@
     ExitCode.UNCLEAR: "The change may have been made; run the command again.",
     ExitCode.DIFFERS: "`config diff` found differences.",
     ExitCode.UNDONE: "`status` found something that is not done yet.",
+    ExitCode.DOUBTFUL: "`rules check` found entries that can't work as written.",
 }
 
 _EXIT_BY_CODE = {
--- a/src/peridothitch/cli/main.py
+++ b/src/peridothitch/cli/main.py
@@ -17,6 +17,7 @@
     "config",
     "explain",
     "forward",
+    "rules",
     "run",
     "serve",
     "standin",
--- a/src/peridothitch/platform/record_codec.py
+++ b/src/peridothitch/platform/record_codec.py
@@ -1,5 +1,6 @@
 """Records of operators and upstreams in the platform's store."""
 
+import collections
 import datetime
 import ipaddress
 import typing
@@ -7,7 +8,7 @@
 import msgspec
 
 from peridothitch import errors
-from peridothitch.ports import forwarding, record_codec, upstream
+from peridothitch.ports import findings, forwarding, record_codec, upstream
 
 __all__ = ["PlatformRecordCodec"]
 
@@ -168,6 +169,20 @@
             limits=_to_limits(record.limits),
         )
 
+    def find_duplicates(self, value):
+        """Yield the entries of an operators' record that another one hides."""
+        record = _decode(value, _Configuration)
+        for section, entries in (
+            ("routes", record.routes),
+            ("services", record.services),
+            ("customers", record.tenants),
+        ):
+            names = collections.Counter(entry.name for entry in entries)
+            for name, count in names.items():
+                if count > 1:
+                    yield _hidden(f"{section}/{name}", f"{count} entries of this name")
+        yield from _find_shared_keys(record.tenants)
+
     def decode_host(self, key, value):
         """Return the `Host` in an upstream's record."""
         record = _decode(value, _Replica)
@@ -218,6 +233,21 @@
         return _MOVE_STATUS + move.service, msgspec.json.encode(fields)
 
 
+def _find_shared_keys(tenants):
+    name_by_key = {}
+    for tenant in tenants:
+        if not tenant.api_keys:
+            yield _hidden(f"customers/{tenant.name}", "it has no key")
+        for key in tenant.api_keys:
+            first = name_by_key.setdefault(key, tenant.name)
+            if first != tenant.name:
+                yield _hidden(f"customers/{first}", f"{tenant.name!r} has its key, too")
+
+
+def _hidden(path, detail):
+    return findings.Finding(findings.Kind.UNREACHABLE, path, detail)
+
+
 def _decode(value, record_type):
     try:
         return msgspec.json.decode(value, type=record_type)
