Hosts take turns to write the record of prompt parts

Hosts now write by rank, 0.5 s apart, and not again before they can have seen their own write. A host whose turn comes first and doesn't reach the store delays the record by 0.5 s.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -42,3 +42,20 @@
   Scenario: The store's record leaves out the blamed part among others that recur
     When a bad part "x-bad" crashes upstreams beside 12 parts that recur
     Then each recorded crash has the part "x-bad"
+
+  Scenario Outline: All hosts write the same outdated record at once
+    Given <hosts> hosts that have answered a part which the store's record blames
+    When they keep the record up to date for 30 seconds, news of it taking 1 second
+    Then the record has been written, with at most <writes> writes tried
+
+    Examples:
+      | hosts | writes |
+      | 7     | 4      |
+      | 84    | 4      |
+      | 380   | 4      |
+
+  Scenario: The hosts whose turn comes first are cut off from the store
+    Given 84 hosts that have answered a part which the store's record blames
+    When the first 40 are cut off from the store
+    And they keep the record up to date for 30 seconds, news of it taking 1 second
+    Then the record has been written
--- a/features/steps/prompt_parts_steps.py
+++ b/features/steps/prompt_parts_steps.py
@@ -1,12 +1,17 @@
 """Steps for prompt parts that crash upstreams."""
 
+import contextlib
 import json
 import time
 
 import behave
 import part_fleet
 
+from peridothitch import errors
+from peridothitch.adapters import metrics
+from peridothitch.gateway.forwarding import part_guard, part_records
 from peridothitch.policy import part_evidence
+from peridothitch.ports import facts
 
 _SETTLING_SECONDS = 1.0
 """Time from a crash until an entry host has weighed it."""
@@ -201,3 +206,108 @@
     assert context.evidence.blamed == {("model", part)}, context.evidence.blamed
     reports = context.evidence.lasting_reports()
     assert reports and all(part in report.sent_at_by_part for report in reports)
+
+
+class _SharedRecord:
+    """The store's record; `cut_off` hosts don't reach it."""
+
+    def __init__(self):
+        self.versions = []
+        self.tried = 0
+        self.cut_off = frozenset()
+
+    def write(self, at, seen_count, record):
+        self.tried += 1
+        if seen_count != len(self.versions):
+            return False
+        self.versions.append((at, record))
+        return True
+
+
+class _DelayedRecords:
+    """The record as one host's mirror shows it."""
+
+    def __init__(self, shared, number, virtual_clock, delay):
+        self._shared, self._number = shared, number
+        self._clock, self._delay = virtual_clock, delay
+
+    def _seen(self):
+        latest = self._clock.seconds - self._delay
+        return [record for at, record in self._shared.versions if at <= latest]
+
+    def read(self):
+        seen = self._seen()
+        return seen[-1] if seen else part_records.PartRecord()
+
+    def write(self, record):
+        if self._number in self._shared.cut_off:
+            raise errors.StoreUnavailableError("cut off")
+        return self._shared.write(self._clock.seconds, len(self._seen()), record)
+
+
+class _NoFacts(facts.FactRegistry):
+    def publish(self, fact):
+        return True
+
+    def facts(self, kind):
+        return {}
+
+    def subscribe(self, kind, callback):
+        pass
+
+
+@behave.given(
+    "{count:d} hosts that have answered a part which the store's record blames"
+)
+def start_answered(context, count):
+    context.virtual_clock = part_fleet.VirtualClock()
+    context.shared = _SharedRecord()
+    crashed_at = context.virtual_clock.now().timestamp()
+    report = part_evidence.CrashReport(
+        crash_id="crash-1", service="model", at=crashed_at, sent_at_by_part={"x": 0.0}
+    )
+    blamed = part_records.PartRecord((report,))
+    context.shared.versions.append((-60.0, blamed))
+    context.virtual_clock.seconds = 1.0
+    context.guards = []
+    for number in range(count):
+        records = _DelayedRecords(context.shared, number, context.virtual_clock, 1.0)
+        guard = part_guard.PartGuard(
+            f"edge-{number}",
+            _NoFacts(),
+            records,
+            lambda host: False,
+            context.virtual_clock,
+            metrics.Metrics(),
+            lambda number=number: number,
+        )
+        guard.record_answer("model", ["x"])
+        context.guards.append(guard)
+
+
+@behave.when("the first {count:d} are cut off from the store")
+def cut_first(context, count):
+    context.shared.cut_off = frozenset(range(count))
+
+
+@behave.when(
+    "they keep the record up to date for {seconds:d} seconds, news of it taking"
+    " 1 second"
+)
+def keep_record(context, seconds):
+    for _ in range(seconds * 4):
+        context.virtual_clock.seconds += 0.25
+        for guard in context.guards:
+            with contextlib.suppress(errors.StoreError):
+                guard.save()
+
+
+@behave.then("the record has been written")
+def check_written(context):
+    assert not context.shared.versions[-1][1].reports, context.shared.versions
+
+
+@behave.then("the record has been written, with at most {count:d} writes tried")
+def check_writes(context, count):
+    check_written(context)
+    assert context.shared.tried <= count, context.shared.tried
--- a/src/peridothitch/coordination/relays.py
+++ b/src/peridothitch/coordination/relays.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-__all__ = ["ancestors", "is_relay", "position", "relays", "standby_rank"]
+__all__ = ["ancestors", "is_relay", "position", "rank", "relays", "standby_rank"]
 
 _MIN_RELAYS_PER_FLEET = 6
 """Minimum number of relays in a fleet; the store may refuse several of them."""
@@ -26,6 +26,14 @@
     return xxhash.xxh64_intdigest(host_id.encode())
 
 
+def rank(peer_by_id, host_id):
+    """Return how many members come before a host in the order, 0 if it is none."""
+    if host_id not in peer_by_id:
+        return 0
+    own = position(host_id)
+    return sum(position(other) < own for other in peer_by_id)
+
+
 def _sorted_ids(peer_by_id, data_centre):
     local = [
         host_id
--- a/src/peridothitch/gateway/forwarding/duty_runner.py
+++ b/src/peridothitch/gateway/forwarding/duty_runner.py
@@ -129,8 +129,7 @@
             return False
         if self._free_since is None:
             self._free_since = now
-        order = sorted(self._peers.members(), key=relays.position)
-        rank = order.index(self._peers.host_id) if self._peers.host_id in order else 0
+        rank = relays.rank(self._peers.members(), self._peers.host_id)
         if now - self._free_since < rank * _RANK_DELAY:
             return False
         # The next attempt comes after all other hosts have had theirs.
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -8,7 +8,7 @@
 import logbook
 
 from peridothitch.adapters import metrics, raw_server, status_pages
-from peridothitch.coordination import lease
+from peridothitch.coordination import lease, relays
 from peridothitch.gateway import loops, peer_links, quarantine
 from peridothitch.gateway.forwarding import (
     attempt,
@@ -174,6 +174,7 @@
             self._paths.is_down,
             self._shared_clock,
             self.metrics,
+            lambda: relays.rank(peers.members(), settings.host_id),
         )
         self._handler = handler.ForwardingHandler(
             self.catalogue, self._attempt_dependencies(), self._quotas, self._busy
--- a/src/peridothitch/gateway/forwarding/part_guard.py
+++ b/src/peridothitch/gateway/forwarding/part_guard.py
@@ -15,7 +15,7 @@
 
 from peridothitch import errors
 from peridothitch.gateway.forwarding import part_records
-from peridothitch.policy import part_evidence
+from peridothitch.policy import part_evidence, write_turns
 from peridothitch.ports import facts
 
 __all__ = ["ANSWER_KIND", "CRASH_KIND", "PartGuard", "crash_fact"]
@@ -84,15 +84,27 @@
     shared_clock : peridothitch.ports.clock.Clock
         Clock of the time that all entry hosts agree on.
     metrics : peridothitch.adapters.metrics.Metrics
+    find_rank : callable
+        See `peridothitch.policy.write_turns.WriteTurn`; by default this host is first.
     """
 
-    def __init__(self, host_id, fact_registry, records, is_down, shared_clock, metrics):
+    def __init__(
+        self,
+        host_id,
+        fact_registry,
+        records,
+        is_down,
+        shared_clock,
+        metrics,
+        find_rank=lambda: 0,
+    ):
         self._host_id = host_id
         self._fact_registry = fact_registry
         self._records = records
         self._is_down = is_down
         self._clock = shared_clock
         self._metrics = metrics
+        self._turn = write_turns.WriteTurn(find_rank)
         self._lock = threading.RLock()
         self._evidence = part_evidence.PartEvidence()
         self._answered_at_by_key = collections.OrderedDict()
@@ -309,7 +321,7 @@
             self._add_report(report)
 
     def save(self):
-        """Write the record if this host knows better than the stored one.
+        """Write the record if it lacks what this host knows, and its turn has come.
 
         Raises
         ------
@@ -319,7 +331,7 @@
         with self._lock:
             lasting = self._evidence.lasting_reports()
             is_outdated = self._lacks_own(stored, lasting) or self._has_answered(stored)
-        if not is_outdated:
+        if not self._turn.is_due(is_outdated, self._clock.monotonic()):
             return
         is_written = self._records.write(part_records.PartRecord(tuple(lasting)))
         _log.info("crash record written", crashes=len(lasting), accepted=is_written)
