--- a/src/peridothitch/platform/record_codec.py
+++ b/src/peridothitch/platform/record_codec.py
@@ -16,6 +16,7 @@
 _SECOND = datetime.timedelta(seconds=1)
 _HOSTS = "servers/"
 _MOVES = "op/rollout/"
+_EVACUATIONS = "op/evacuate/"
 _MOVE_STATUS = "status/rollout/"
 _TOKENS = "token_stream"
 _STREAMING = "streaming"
@@ -58,6 +59,8 @@
     # Set for routes whose upstreams cache prompts; it assigns no caller to a host.
     session_affinity: bool = False
     stream_resume: bool = False
+    # Empty for all.
+    allowed_regions: list[str] = []
 
 
 class _Scaling(msgspec.Struct, frozen=True):
@@ -91,6 +94,7 @@
     uncached_tokens: float = 0.0
     rate_per_s: float = 0.0
     burst: float = 0.0
+    allowed_regions: list[str] = []
 
 
 class _Configuration(msgspec.Struct, frozen=True):
@@ -151,10 +155,16 @@
 
     def __init__(self, region_by_data_centre):
         self._region_by_data_centre = region_by_data_centre
+        self._regions = set(region_by_data_centre.values())
 
     def decode_table(self, value):
         """Return the `RoutingTable` in an operators' record."""
         record = _decode(value, _Configuration)
+        homes = {
+            region
+            for owner in (*record.routes, *record.tenants)
+            for region in owner.allowed_regions
+        }
         return forwarding.RoutingTable(
             version=record.version,
             routes=tuple(map(_to_route, record.routes)),
@@ -167,6 +177,7 @@
                 for key in tenant.api_keys
             },
             limits=_to_limits(record.limits),
+            unknown_regions=tuple(sorted(homes - self._regions)),
         )
 
     def find_duplicates(self, value):
@@ -215,6 +226,17 @@
             duration=record.duration_s * _SECOND,
         )
 
+    def decode_evacuation(self, key):
+        """Return the data centre that a record evacuates, None for other records."""
+        if not key.startswith(_EVACUATIONS):
+            return None
+        data_centre = key.removeprefix(_EVACUATIONS)
+        if data_centre not in self._region_by_data_centre:
+            raise errors.DocumentError(
+                errors.Code.DOCUMENT_REFERENCE, f"{data_centre!r} is no data centre"
+            )
+        return data_centre
+
     def write_order(self, key, value):
         """Return what orders the writes of a record, None if it doesn't tell."""
         try:
@@ -295,6 +317,7 @@
         priority=route.priority,
         anonymous=route.anonymous,
         caches_prompts=route.session_affinity,
+        homes=frozenset(route.allowed_regions),
     )
 
 
@@ -322,7 +345,12 @@
             counts_tokens=tenant.unit == _TOKENS,
             default_tokens=tenant.uncached_tokens,
         )
-    return forwarding.Customer(name=tenant.name, priority=tenant.priority, quota=quota)
+    return forwarding.Customer(
+        name=tenant.name,
+        priority=tenant.priority,
+        quota=quota,
+        homes=frozenset(tenant.allowed_regions),
+    )
 
 
 def _to_limits(limits):
