--- a/features/rules_check.feature
+++ b/features/rules_check.feature
@@ -19,6 +19,7 @@
       | tenants  | desk  | {"api_keys": []}                           | unreachable: customers/desk       |
       | tenants  | desk  | {"api_keys": ["gate-key"]}                 | unreachable: customers/desk       |
       | tenants  | desk  | {"rate_per_s": 10, "unit": "token_stream", "uncached_tokens": 200} | contradiction: customers/desk/quota |
+      | tenants  | desk  | {"allowed_regions": ["fife"]}              | contradiction: routes/look/homes  |
       | limits   | all   | {"max_body_bytes": 100}                    | contradiction: limits/body_bytes  |
       | limits   | all   | {"idle_timeout_ms": 0}                     | contradiction: limits/idle_timeout |
 
--- a/features/steps/rules_check_steps.py
+++ b/features/steps/rules_check_steps.py
@@ -26,7 +26,10 @@
     context.folder = pathlib.Path(folder.name)
     value = platform_records.configuration(
         7,
-        [_route("pay", "/charge/", "till"), _route("look", "/lookup/", "spare")],
+        [
+            _route("pay", "/charge/", "till"),
+            _route("look", "/lookup/", "spare", allowed_regions=["lothian"]),
+        ],
         [{"name": "till"}, {"name": "spare"}],
         [
             platform_records.customer("desk", "desk-key"),
--- a/src/peridothitch/policy/table_checks.py
+++ b/src/peridothitch/policy/table_checks.py
@@ -3,6 +3,7 @@
 import collections
 import datetime
 
+from peridothitch.policy import homes
 from peridothitch.ports import findings, forwarding
 
 __all__ = ["find_findings"]
@@ -30,9 +31,23 @@
         yield from _check_service(service)
     for customer in _customers(table).values():
         yield from _check_customer(customer, quota_window)
+    yield from _check_homes(table)
     yield from _check_limits(table.limits)
 
 
+def _check_homes(table):
+    """Yield a finding for each route that a customer can never use."""
+    for route in table.routes:
+        if route.anonymous:
+            continue
+        for customer in _customers(table).values():
+            if homes.common_homes(route, customer) == frozenset():
+                yield _contradiction(
+                    f"routes/{route.name}/homes",
+                    f"it has no region in common with the customer {customer.name!r}",
+                )
+
+
 def _customers(table):
     return {customer.name: customer for customer in table.customer_by_key.values()}
 
