--- a/features/forwarding_bench.py
+++ b/features/forwarding_bench.py
@@ -85,7 +85,7 @@
 )
 
 
-def configuration(version=1, routes=ROUTES, tenants=None):
+def configuration(version=1, routes=ROUTES, tenants=None, limits=None):
     """Return the operators' configuration as an encoded record."""
     if tenants is None:
         tenants = [{"name": CUSTOMER, "api_keys": [KEY]}]
@@ -102,7 +102,8 @@
             "max_body_bytes": 65536,
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
-        },
+        }
+        | (limits or {}),
         a_field_of_tomorrow=True,
     )
 
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -47,7 +47,7 @@
 
 
 @behave.given("an entry host as a process of its own")
-def start_process(context):
+def start_process(context, further_settings=""):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.path = pathlib.Path(folder.name, "settings.toml")
@@ -57,7 +57,8 @@
         "ready": processes.free_port(),
         "store": context.bench.store_port,
     }
-    context.path.write_text(_SETTINGS.format(grace=1, **context.ports))
+    settings = _SETTINGS.format(grace=1, **context.ports)
+    context.path.write_text(settings + further_settings)
     command = [sys.executable, "-m", "peridothitch", "forward"]
     with context.log.open("wb") as log:
         context.process = subprocess.Popen(
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -2,6 +2,8 @@
 
 A failed scenario listed in KNOWN-RED.txt is printed but doesn't fail the run; every
 other failure does. Entries start with ``scenario: <feature file>: <scenario name>``.
+
+A feature file that begins with the tag ``@alone`` runs by itself after the others.
 """
 
 import concurrent.futures
@@ -14,6 +16,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED_PATH = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_PREFIX = "scenario: "
+ALONE_TAG = "@alone"
 WORKER_COUNT = 4
 TIMEOUT_SECONDS = 1500
 MAX_OUTPUT_CHARACTERS = 6000
@@ -30,6 +33,19 @@
     }
 
 
+def _runs_alone(path):
+    first_line = path.read_text(encoding="utf-8").partition("\n")[0]
+    return ALONE_TAG in first_line.split()
+
+
+def _run_features(paths):
+    """Yield the results in order; no other feature runs beside one that runs alone."""
+    with concurrent.futures.ThreadPoolExecutor(WORKER_COUNT) as pool:
+        together = [path for path in paths if not _runs_alone(path)]
+        yield from pool.map(_run_feature, together)
+    yield from map(_run_feature, filter(_runs_alone, paths))
+
+
 def _run_feature(path):
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
@@ -77,24 +93,21 @@
     paths = chosen or sorted((ROOT / "features").rglob("*.feature"))
     known_red_names = _known_red()
     passed, failed, known_red_failures = 0, [], []
-    with concurrent.futures.ThreadPoolExecutor(WORKER_COUNT) as pool:
-        for path, completed, features in pool.map(_run_feature, paths):
-            scenarios = list(_scenarios(path, features))
-            if not scenarios or (completed.returncode and not _any_failed(scenarios)):
-                failed.append(f"{path.name}: did not run")
-                print(
-                    completed.stdout[-MAX_OUTPUT_CHARACTERS:], completed.stderr[-4000:]
-                )
-            for name, element in scenarios:
-                if element["status"] == "passed":
-                    passed += 1
-                elif name in known_red_names:
-                    known_red_failures.append(name)
-                else:
-                    failed.append(name)
-                    print(f"FAILED {name}\n{_failure_text(element)}")
-                    print(completed.stdout[-MAX_OUTPUT_CHARACTERS:])
-            print(f"{path.relative_to(ROOT)}: {len(scenarios)} scenarios", flush=True)
+    for path, completed, features in _run_features(paths):
+        scenarios = list(_scenarios(path, features))
+        if not scenarios or (completed.returncode and not _any_failed(scenarios)):
+            failed.append(f"{path.name}: did not run")
+            print(completed.stdout[-MAX_OUTPUT_CHARACTERS:], completed.stderr[-4000:])
+        for name, element in scenarios:
+            if element["status"] == "passed":
+                passed += 1
+            elif name in known_red_names:
+                known_red_failures.append(name)
+            else:
+                failed.append(name)
+                print(f"FAILED {name}\n{_failure_text(element)}")
+                print(completed.stdout[-MAX_OUTPUT_CHARACTERS:])
+        print(f"{path.relative_to(ROOT)}: {len(scenarios)} scenarios", flush=True)
     for name in known_red_failures:
         print(f"known red: {name}")
     for name in failed:
