Bound what all requests hold in one process together

Cause: each body had its own limit and nothing bounded them together; the library put bodies over half a megabyte into deleted files, which are memory on these hosts and a descriptor each, and a complete body was held twice and copied once more when sent.

Bodies are now received into memory, counted with their heads until the answer has ended (HeldBytes, the class that responses use, with an account of its own: a crowd of requests would otherwise cut off responses). policy/request_room decides who yields: bodies without progress, the source that holds most, the largest; a refused one gets 503 with code 2001 and has not run. A quarter of the room stays for requests of up to 64 KB. Connections are limited by the settings' descriptors (1500 of 4100, as before); when they are short, silent ones, slow heads and stalled bodies go. Chunks are decoded in linear time; framing no longer counts as body but has the same limit; a body over its limit is refused before 100 Continue; after a refusal at most 8 MiB is discarded.

--- a/src/peridothitch/adapters/raw_server.py
+++ b/src/peridothitch/adapters/raw_server.py
@@ -12,7 +12,7 @@
 import waitress.task
 
 from peridothitch import errors, sockets
-from peridothitch.adapters import caller_channel, wsgi_server
+from peridothitch.adapters import caller_channel, request_parser, wsgi_server
 from peridothitch.ports import forwarding, raw
 
 __all__ = ["RawServer"]
@@ -23,13 +23,13 @@
 """Prevents the library from closing idle connections by the wall clock."""
 
 
-class _Parser(waitress.parser.HTTPRequestParser):
+class _Parser(request_parser.RequestParser):
     """Preserves the header fields as they were sent and rejects ambiguous framing."""
 
     fields = ()
 
-    def __init__(self, adj):
-        super().__init__(adj)
+    def __init__(self, adj, source=""):
+        super().__init__(adj, source)
         self.arrived = adj.clock.monotonic()
 
     def parse_header(self, header_plus):
@@ -277,10 +277,19 @@
         Number of concurrent connections.
     count_problem : callable
         Called with the coded error of each request that could not be read.
+    held_bytes : peridothitch.policy.held_bytes.HeldBytes
+        Account of the requests that the process holds.
     """
 
     def __init__(
-        self, handle_request, address, clock, threads, connections, count_problem
+        self,
+        handle_request,
+        address,
+        clock,
+        threads,
+        connections,
+        count_problem,
+        held_bytes,
     ):
         super().__init__(
             handle_request,
@@ -290,6 +299,8 @@
             channel_class=_Channel,
             dispatcher=_PoolDispatcher(threads),
             connection_limit=connections,
+            held_bytes=held_bytes,
+            clock=clock,
         )
         self._server.adj.clock = clock
         self._server.adj.channel_timeout = _DISABLED_TIMEOUT_SECONDS
@@ -302,6 +313,7 @@
         """Apply new `peridothitch.ports.forwarding.CallerLimits`."""
         self._server.adj.max_request_header_size = limits.header_bytes + 1
         self._server.adj.max_request_body_size = limits.body_bytes + 1
+        self._room.set_body_limit(limits.body_bytes)
         self._server.header_timeout = limits.header_timeout
         self._server.idle_timeout = limits.idle_timeout
 
--- a/src/peridothitch/adapters/raw_transport.py
+++ b/src/peridothitch/adapters/raw_transport.py
@@ -213,7 +213,7 @@
         connection.reader.deadline = call.deadline
         remaining = call.deadline - self._clock.monotonic()
         connection.sock.settimeout(max(0.001, remaining.total_seconds()))
-        connection.sock.sendall(head + call.body)
+        sockets.send_message(connection.sock, head, call.body)
 
 
 def _ignore(host, is_open):
--- a/src/peridothitch/adapters/status_pages.py
+++ b/src/peridothitch/adapters/status_pages.py
@@ -7,6 +7,8 @@
 __all__ = ["StatusPages"]
 
 _METRICS_PATH = "/metrics"
+_MAX_BODY_BYTES = 64 << 10
+_REQUEST_MEMORY_BYTES = 2 << 20
 
 
 class StatusPages:
@@ -41,4 +43,9 @@
 
     def make_server(self, address):
         """Return a server of these pages at an IP address and port, not yet started."""
-        return wsgi_server.WsgiServer(self, address, threads=1, connection_limit=64)
+        limits = wsgi_server.ServerLimits(
+            body_bytes=_MAX_BODY_BYTES, request_memory_bytes=_REQUEST_MEMORY_BYTES
+        )
+        return wsgi_server.WsgiServer(
+            self, address, threads=1, limits=limits, connection_limit=64
+        )
--- a/src/peridothitch/adapters/wsgi_server.py
+++ b/src/peridothitch/adapters/wsgi_server.py
@@ -9,11 +9,14 @@
 import waitress.server
 
 from peridothitch import errors
-from peridothitch.adapters import caller_channel
+from peridothitch.adapters import caller_channel, system_clock
+from peridothitch.policy import request_room
 
 __all__ = ["ServerLimits", "WsgiServer"]
 
 _BACKLOG_CONNECTIONS = 1024
+_CONNECTIONS_PER_THREAD = 4
+_SPARE_CONNECTIONS = 8
 _CHANNEL_TIMEOUT_SECONDS = 120
 _CLEANUP_INTERVAL_SECONDS = 10
 _JOIN_TIMEOUT_SECONDS = 2
@@ -38,6 +41,8 @@
         Largest body.
     header_bytes : int
         Largest request head.
+    request_memory_bytes : int
+        Memory for the requests of all callers together.
     request_timeout : datetime.timedelta
         Maximum time until a request has been received completely.
     write_timeout : datetime.timedelta
@@ -46,6 +51,7 @@
 
     body_bytes: int = 8 << 20
     header_bytes: int = 64 << 10
+    request_memory_bytes: int = 40 << 20
     request_timeout: datetime.timedelta = datetime.timedelta(seconds=30)
     write_timeout: datetime.timedelta = datetime.timedelta(seconds=30)
 
@@ -75,6 +81,10 @@
         the beginning.
     connection_limit : int or None
         Number of concurrent connections; four per thread by default.
+    held_bytes : peridothitch.policy.held_bytes.HeldBytes or None
+        Account of requests that other servers share; by default one of its own.
+    clock : peridothitch.ports.clock.Clock or None
+        The system's by default.
     """
 
     def __init__(
@@ -88,9 +98,12 @@
         channel_class=caller_channel.CallerChannel,
         dispatcher=None,
         connection_limit=None,
+        held_bytes=None,
+        clock=None,
     ):
         host, _, port = address.rpartition(":")
         limits = limits or ServerLimits()
+        connection_limit = connection_limit or _CONNECTIONS_PER_THREAD * threads
         self._closing = False
         try:
             self._server = waitress.server.create_server(
@@ -99,7 +112,7 @@
                 host=host.strip("[]"),
                 port=int(port),
                 threads=threads,
-                connection_limit=connection_limit or 4 * threads,
+                connection_limit=connection_limit,
                 backlog=_BACKLOG_CONNECTIONS,
                 channel_timeout=_CHANNEL_TIMEOUT_SECONDS,
                 cleanup_interval=_CLEANUP_INTERVAL_SECONDS,
@@ -121,6 +134,14 @@
         server.request_timeout_seconds = limits.request_timeout.total_seconds()
         server.write_timeout_seconds = limits.write_timeout.total_seconds()
         server.count_problem = count_problem
+        server.crowded_connection_count = connection_limit - _SPARE_CONNECTIONS
+        if held_bytes is None:
+            held_bytes = request_room.make_held_bytes(limits.request_memory_bytes)
+        self._room = request_room.RequestRoom(
+            held_bytes, clock or system_clock.SystemClock()
+        )
+        self._room.set_body_limit(limits.body_bytes)
+        server.adj.request_room = self._room
         self._thread = threading.Thread(
             target=self._run, name=f"front-{self.port}", daemon=True
         )
@@ -135,6 +156,11 @@
         """Number of open connections."""
         return len(self._server.active_channels)
 
+    @property
+    def request_bytes(self):
+        """Bytes of all requests in the account, those of other servers included."""
+        return self._room.held.total
+
     @property
     def pending_request_count(self):
         """Number of requests that are being served or are waiting for a thread."""
--- a/src/peridothitch/cli/forward.py
+++ b/src/peridothitch/cli/forward.py
@@ -1,5 +1,6 @@
 """``peridothitch forward``: an entry host on the users' platform."""
 
+import dataclasses
 import datetime
 import os
 import pathlib
@@ -42,6 +43,13 @@
     show_default=True,
     help="Port of the metrics on this host's address; 0 for none.",
 )
+@click.option(
+    "--request-memory",
+    type=settings.SIZE,
+    default=None,
+    help="Memory for the requests of all callers together.  "
+    "[default: a fifth of the memory in the settings file]",
+)
 @click.option(
     "--log-format",
     type=click.Choice(["text", "json"]),
@@ -49,7 +57,7 @@
     show_default=True,
     help="Form of log lines on standard output.",
 )
-def forward(path, metrics_port, log_format):
+def forward(path, metrics_port, request_memory, log_format):
     """Forward requests unchanged as one entry host until SIGTERM.
 
     SIGHUP, or a change of the settings file, reads it again; it cuts nothing.
@@ -58,6 +66,10 @@
     # Read before the settings, so that a change in the meantime is detected.
     modified_at = _modification_time(path)
     entry_settings = platform_settings.read(path)
+    capacity = dataclasses.replace(
+        entry_settings.capacity, request_memory_bytes=request_memory
+    )
+    entry_settings = dataclasses.replace(entry_settings, capacity=capacity)
     stream = logs.BoundedStream(sys.stdout)
     logs.install(log_format, stream)
     ip_address = entry_settings.callers_address.rpartition(":")[0]
--- a/src/peridothitch/cli/serve.py
+++ b/src/peridothitch/cli/serve.py
@@ -111,6 +111,13 @@
     show_default=True,
     help="Largest request head accepted from a caller.",
 )
+@click.option(
+    "--request-memory",
+    type=settings.SIZE,
+    default="40MiB",
+    show_default=True,
+    help="Memory for the requests of all callers together.",
+)
 @click.option(
     "--request-timeout",
     type=settings.DURATION,
@@ -167,6 +174,7 @@
     threads,
     max_body,
     max_header,
+    request_memory,
     request_timeout,
     write_timeout,
     unready_time,
@@ -183,6 +191,7 @@
         limits=wsgi_server.ServerLimits(
             body_bytes=max_body,
             header_bytes=max_header,
+            request_memory_bytes=request_memory,
             request_timeout=request_timeout,
             write_timeout=write_timeout,
         ),
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -34,16 +34,13 @@
     usage_counter,
     version_moves,
 )
-from peridothitch.policy import admission, held_bytes
+from peridothitch.policy import admission, held_bytes, request_room
 
 __all__ = ["ForwardingHost"]
 
 _MAX_THREADS = 192
 """Most requests in progress at once; a stream occupies a thread until it ends."""
 
-_MAX_CONNECTIONS = 1500
-"""Limit on callers' connections; with upstreams' below a host's descriptor limit."""
-
 _ASSUMED_HOST_COUNT = 8
 """Number of entry hosts assumed for quotas and retries while none is known."""
 
@@ -84,8 +81,9 @@
         self.metrics = metrics.Metrics()
         self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
         store = platform.store
+        account = request_room.make_account(settings.capacity)
         self._helper_server = helper_server.HelperServer(
-            platform.header_codec, settings.helper_address, clock, self.metrics
+            platform.header_codec, settings.helper_address, clock, self.metrics, account
         )
         self._fleet = peer_links.make_link(
             settings.host_id,
@@ -183,8 +181,9 @@
             settings.callers_address,
             clock,
             _MAX_THREADS,
-            _MAX_CONNECTIONS,
+            request_room.connection_limit(settings.capacity),
             self._handler.count_unreadable,
+            account,
         )
         self.catalogue.subscribe(self._apply_table, self._apply_hosts)
         pages = status_pages.StatusPages(self.is_ready, self.metrics)
@@ -356,6 +355,7 @@
     def _tidy(self, stop):
         while not self._clock.wait(stop, _TIDY_PERIOD):
             self.catalogue.remove_lapsed()
+            self.metrics.set("request_bytes_held", self._server.request_bytes)
 
     def _apply_table(self, table):
         self._server.set_limits(table.limits)
--- a/src/peridothitch/gateway/forwarding/helper_server.py
+++ b/src/peridothitch/gateway/forwarding/helper_server.py
@@ -40,6 +40,8 @@
         IP address and port; port 0 selects a free one. Empty to serve no other host.
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
+    held_bytes : peridothitch.policy.held_bytes.HeldBytes
+        Account of the requests that the process holds.
 
     Attributes
     ----------
@@ -47,7 +49,7 @@
         IP address and port that other entry hosts connect to.
     """
 
-    def __init__(self, header_codec, address, clock, metrics):
+    def __init__(self, header_codec, address, clock, metrics, held_bytes):
         self._upstreams = None
         self._paths = None
         self._is_draining = False
@@ -59,11 +61,11 @@
         self._server = None
         self.address = ""
         if address:
-            self._server = self._make_server(address)
+            self._server = self._make_server(address, held_bytes)
             ip_address = address.rpartition(":")[0]
             self.address = f"{ip_address}:{self._server.port}"
 
-    def _make_server(self, address):
+    def _make_server(self, address, held_bytes):
         return raw_server.RawServer(
             self._handle,
             address,
@@ -71,6 +73,7 @@
             _MAX_CALLS + _SPARE_THREADS,
             _MAX_CONNECTIONS,
             self._count_unreadable,
+            held_bytes,
         )
 
     @property
--- a/src/peridothitch/platform/settings.py
+++ b/src/peridothitch/platform/settings.py
@@ -14,6 +14,7 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _SECOND = datetime.timedelta(seconds=1)
 _NO_ADDRESS = ""
+_MEGABYTE = 1 << 20
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -38,6 +39,11 @@
     canary_share: float = 0.1
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    memory_mb: float | None = None
+    max_fds: float | None = None
+
+
 class _Address(msgspec.Struct, frozen=True):
     address: str
 
@@ -56,6 +62,7 @@
     # Maps zones, which the product calls data centres, to their regions.
     zones: dict[str, str] = {}
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     cloud_api: _Duties = _Duties()
     seed_nodes: list[str] = []
     ip: str = ""
@@ -102,6 +109,7 @@
         orders_capacity="autoscale" in settings.cloud_api.duties,
         bounds=_to_bounds(settings.bounds),
         helper_address=_helper_address(settings),
+        capacity=_to_capacity(settings.limits),
     )
 
 
@@ -111,6 +119,17 @@
     return f"{settings.ip}:{settings.internal_ports[0]}"
 
 
+def _to_capacity(limits):
+    default = entry_settings.HostCapacity()
+    memory_bytes = default.memory_bytes
+    if limits.memory_mb is not None:
+        memory_bytes = int(limits.memory_mb * _MEGABYTE)
+    return entry_settings.HostCapacity(
+        memory_bytes=memory_bytes,
+        descriptor_count=int(limits.max_fds or default.descriptor_count),
+    )
+
+
 def _to_bounds(bounds):
     return entry_settings.OperatingBounds(
         grace_period=bounds.grace_s * _SECOND,
--- a/src/peridothitch/policy/held_bytes.py
+++ b/src/peridothitch/policy/held_bytes.py
@@ -1,8 +1,7 @@
-"""Limits the bytes of responses that a process holds for all requests together.
+"""Limits the bytes that a process holds for many requests or responses together.
 
-The limit of a single response doesn't bound what many of them hold at once. Each
-service may use a share of the whole, so that its large responses leave room for those
-of others.
+The limit of a single one doesn't bound what many of them hold at once. Each group may
+use a share of the whole, so that the large ones of one group leave room for others.
 """
 
 import threading
@@ -12,49 +11,51 @@
 _DEFAULT_LIMIT = 24 << 20
 """Above what sound upstreams' large bodies need, and small beside a host's memory."""
 
-_SERVICE_SHARE = 0.5
+_GROUP_SHARE = 0.5
 
 
 class HeldBytes:
-    """Counts bytes by service; safe for several threads at once.
+    """Counts bytes by group, such as a service; safe for several threads at once.
 
     Parameters
     ----------
     limit : int
-        Bytes that all services may hold together.
+        Bytes that all groups may hold together.
+    group_share : float
+        Share of the limit that one group may hold.
     """
 
-    def __init__(self, limit=_DEFAULT_LIMIT):
-        self._limit = limit
-        self._service_limit = int(limit * _SERVICE_SHARE)
+    def __init__(self, limit=_DEFAULT_LIMIT, group_share=_GROUP_SHARE):
+        self._group_share = group_share
+        self.limit = limit
         self._lock = threading.Lock()
-        self._size_by_service = {}
+        self._size_by_group = {}
 
     @property
     def total(self):
-        """Bytes held for all services."""
+        """Bytes held for all groups."""
         with self._lock:
-            return sum(self._size_by_service.values())
+            return sum(self._size_by_group.values())
 
-    def add(self, service, size):
+    def add(self, group, size):
         """Count further bytes; returns False, and counts none, above a limit."""
         with self._lock:
-            held = self._size_by_service.get(service, 0) + size
-            total = sum(self._size_by_service.values()) + size
-            if held > self._service_limit or total > self._limit:
+            held = self._size_by_group.get(group, 0) + size
+            total = sum(self._size_by_group.values()) + size
+            if held > self._group_share * self.limit or total > self.limit:
                 return False
-            self._size_by_service[service] = held
+            self._size_by_group[group] = held
             return True
 
-    def remove(self, service, size):
+    def remove(self, group, size):
         """Count bytes no longer."""
         if not size:
             return
         with self._lock:
-            held = self._size_by_service[service] - size
-            self._size_by_service[service] = held
+            held = self._size_by_group[group] - size
+            self._size_by_group[group] = held
             if not held:
-                del self._size_by_service[service]
+                del self._size_by_group[group]
 
 
 class Holding:
--- a/src/peridothitch/ports/entry_settings.py
+++ b/src/peridothitch/ports/entry_settings.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-__all__ = ["OperatingBounds", "EntryHostSettings"]
+__all__ = ["EntryHostSettings", "HostCapacity", "OperatingBounds"]
 
 _SECOND = datetime.timedelta(seconds=1)
 
@@ -51,6 +51,24 @@
     exposed_share: float = 0.1
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HostCapacity:
+    """What the process may use of its host; defaults are those of the smallest one.
+
+    Attributes
+    ----------
+    memory_bytes : int
+    descriptor_count : int
+        Open files, sockets and pipes.
+    request_memory_bytes : int or None
+        Memory for the requests of all callers; by default a share of the whole.
+    """
+
+    memory_bytes: int = 200 << 20
+    descriptor_count: int = 4100
+    request_memory_bytes: int | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EntryHostSettings:
     """Location, addresses and bounds of an entry host.
@@ -77,6 +95,7 @@
     reports_usage, orders_capacity : bool
         Which duties are enabled.
     bounds : OperatingBounds
+    capacity : HostCapacity
     """
 
     host_id: str
@@ -93,3 +112,4 @@
     orders_capacity: bool
     bounds: OperatingBounds
     helper_address: str = ""
+    capacity: HostCapacity = HostCapacity()
--- a/src/peridothitch/sockets.py
+++ b/src/peridothitch/sockets.py
@@ -12,6 +12,7 @@
     "reset",
     "reset_on_close",
     "enable_dead_peer_detection",
+    "send_message",
 ]
 
 _NO_LINGER = struct.pack("ii", 1, 0)
@@ -25,6 +26,19 @@
 """Allows several retransmissions on the slowest link, whose round trip takes 50 ms."""
 
 
+_JOINED_BODY_BYTES = 1 << 16
+"""Largest body that is sent together with its head; joining them copies it."""
+
+
+def send_message(sock, head, body):
+    """Send a head and a body."""
+    if len(body) <= _JOINED_BODY_BYTES:
+        sock.sendall(head + body)
+        return
+    sock.sendall(head)
+    sock.sendall(body)
+
+
 def enable_dead_peer_detection(sock):
     """Make the kernel close a connection whose peer stops responding."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
