--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -53,8 +53,8 @@
 
 
 @behave.given("an entry host as a process of its own")
-def start_process(context):
-    _start(context, _SETTINGS)
+def start_process(context, further_settings=""):
+    _start(context, _SETTINGS + further_settings)
 
 
 @behave.given("an entry host that helps others as a process of its own")
