Cold upstreams: requests beyond what a cold upstream takes are not sent

Change: the owners that share limits which upstreams name now share any small quantity (shared_allowances, Terms); cold upstreams use them, with more owners and a smaller burst. Cold is what the record or an answer tells, and every incarnation that appears after the first reading of the store, for the start's time. Capacity counts cold upstreams. count_hosts moved to fleet_record, unchanged. Ruled out: two owners (a third of 63 hosts could send to none of 30 cold upstreams). In virtual time, all upstreams cold: 3 in 100 requests of 7 hosts and 22 in 100 of 63 hosts find no upstream, 68 in 100 of 380 hosts; to be mended by asking owners.

--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -14,6 +14,7 @@
     attempt,
     busy_host_meter,
     catalogue,
+    cold_upstreams,
     duty_factory,
     duty_runner,
     final_counts,
@@ -44,9 +45,6 @@
 _MAX_CONNECTIONS = 1500
 """Limit on callers' connections; with upstreams' below a host's descriptor limit."""
 
-_ASSUMED_HOST_COUNT = 8
-"""Number of entry hosts assumed for quotas and retries while none is known."""
-
 _BACKGROUND_THREADS = 24
 _INCARNATION_BYTES = 6
 _TIDY_PERIOD = datetime.timedelta(milliseconds=100)
@@ -161,8 +159,16 @@
             clock,
             self.metrics,
         )
+        cold = cold_upstreams.ColdUpstreams(
+            peers, self._count_hosts, self.catalogue, clock, self.metrics
+        )
         self._upstreams = upstream_pool.UpstreamPool(
-            settings, clock, self.metrics, self._limits, self.catalogue.evacuations
+            settings,
+            clock,
+            self.metrics,
+            self._limits,
+            self.catalogue.evacuations,
+            cold,
         )
         self._paths = path_links.make_paths(
             settings, platform.header_codec, peers, clock, self.metrics
@@ -368,12 +374,7 @@
 
     def _count_hosts(self):
         """Return the number of entry hosts that share quotas, at least 1."""
-        known = len(self._fleet.peers.members())
-        view = self._reports.view
-        if view is not None:
-            return max(known, view.host_count)
-        recorded = fleet_record.read_record(self._leases).host_count
-        return max(known, recorded or _ASSUMED_HOST_COUNT)
+        return fleet_record.count_hosts(self._fleet.peers, self._reports, self._leases)
 
     def _apply_record(self):
         self._final_counts.record_holder(self._duty_runner.find_holder_number())
--- a/src/peridothitch/gateway/forwarding/fleet_record.py
+++ b/src/peridothitch/gateway/forwarding/fleet_record.py
@@ -13,7 +13,7 @@
 from peridothitch.coordination import lease
 from peridothitch.ports import store
 
-__all__ = ["FleetRecord", "FleetRecordDuty", "read_record"]
+__all__ = ["FleetRecord", "FleetRecordDuty", "count_hosts", "read_record"]
 
 _KEY = lease.PREFIX + "fleet"
 _MIN_SHARE = 0.3
@@ -31,6 +31,9 @@
 _MIN_AGE_SECONDS = 5.0
 """Age of a view from which its demand covers all hosts and may be recorded."""
 
+_ASSUMED_HOST_COUNT = 8
+"""Number of entry hosts assumed for quotas and retries while none is known."""
+
 _MIN_WRITE_PERIOD = datetime.timedelta(seconds=1)
 _log = logbook.Logger(__name__)
 
@@ -53,6 +56,21 @@
     busy_by_service: dict[str, float] = {}
 
 
+def count_hosts(peers, reports, leases):
+    """Return the number of entry hosts that share quotas, at least 1.
+
+    Parameters
+    ----------
+    peers : peridothitch.ports.peers.Peers
+    reports : peridothitch.gateway.forwarding.fleet_reports.FleetReports
+    leases : peridothitch.coordination.mirror.Mirror
+    """
+    known = len(peers.members())
+    if reports.view is not None:
+        return max(known, reports.view.host_count)
+    return max(known, read_record(leases).host_count or _ASSUMED_HOST_COUNT)
+
+
 def read_record(leases):
     """Return the `FleetRecord` in a mirror, an empty one if there is none."""
     item = leases.items().get(_KEY)
--- a/src/peridothitch/gateway/forwarding/upstream_limits.py
+++ b/src/peridothitch/gateway/forwarding/upstream_limits.py
@@ -7,6 +7,7 @@
 import logbook
 import msgspec
 
+from peridothitch.gateway.forwarding import shared_allowances
 from peridothitch.policy import upstream_limits
 from peridothitch.ports import facts
 
@@ -14,9 +15,6 @@
 
 LIMIT_KIND = "upstream-limit"
 _MILLISECONDS = 1000
-_OWNERS_LIFETIME_SECONDS = 0.5
-"""Ranking hundreds of entry hosts for each request would take milliseconds."""
-
 _MAX_LIMITS = 1024
 """Upstreams that are gone are forgotten once this many have named a limit."""
 
@@ -33,9 +31,6 @@
 class _Limit:
     rate: float
     named_at: float
-    allowance: upstream_limits.Allowance
-    owners: frozenset = frozenset()
-    owners_until: float = -math.inf
 
 
 class UpstreamLimits:
@@ -54,7 +49,7 @@
     """
 
     def __init__(self, peers, fact_registry, clock, metrics):
-        self._peers = peers
+        self._shares = shared_allowances.SharedAllowances(peers, clock)
         self._fact_registry = fact_registry
         self._clock = clock
         self._metrics = metrics
@@ -106,21 +101,22 @@
             if before == rate or (known is not None and named_at < known.named_at):
                 return
             if math.isinf(rate):
-                del self._limit_by_incarnation[incarnation]
+                self._remove(incarnation)
             elif known is not None:
                 known.rate, known.named_at = rate, named_at
             else:
-                allowance = upstream_limits.Allowance(0.0, self._now())
-                limit = _Limit(rate, named_at, allowance)
-                self._limit_by_incarnation[incarnation] = limit
+                self._limit_by_incarnation[incarnation] = _Limit(rate, named_at)
+                self._shares.start(incarnation)
                 if len(self._limit_by_incarnation) > _MAX_LIMITS:
-                    del self._limit_by_incarnation[
-                        next(iter(self._limit_by_incarnation))
-                    ]
+                    self._remove(next(iter(self._limit_by_incarnation)))
             count = len(self._limit_by_incarnation)
         self._metrics.set("limited_upstreams", count)
         _log.info("limit named", incarnation=incarnation, rate=rate, before=before)
 
+    def _remove(self, incarnation):
+        del self._limit_by_incarnation[incarnation]
+        self._shares.end(incarnation)
+
     def is_limited(self, host):
         """Return whether an upstream has named a limit."""
         return _incarnation(host) in self._limit_by_incarnation
@@ -131,29 +127,12 @@
             limit = self._limit_by_incarnation.get(_incarnation(host))
             if limit is None:
                 return True
-            return self._refill(_incarnation(host), limit).is_open
+            terms = upstream_limits.Terms(limit.rate)
+            return self._shares.is_open(_incarnation(host), terms)
 
     def spend(self, host):
         """Take one request from this host's share of an upstream's limit."""
-        with self._lock:
-            limit = self._limit_by_incarnation.get(_incarnation(host))
-            if limit is not None:
-                limit.allowance = limit.allowance.spend()
-
-    def _refill(self, incarnation, limit):
-        now = self._now()
-        if now >= limit.owners_until:
-            members = self._peers.members()
-            limit.owners = upstream_limits.choose_owners(incarnation, members)
-            limit.owners_until = now + _OWNERS_LIFETIME_SECONDS
-        rate = 0.0
-        if self._peers.host_id in limit.owners:
-            rate = upstream_limits.owner_rate(limit.rate, len(limit.owners))
-        limit.allowance = limit.allowance.refill(rate, now)
-        return limit.allowance
-
-    def _now(self):
-        return self._clock.monotonic().total_seconds()
+        self._shares.spend(_incarnation(host))
 
 
 def _incarnation(host):
--- a/src/peridothitch/gateway/forwarding/upstream_pool.py
+++ b/src/peridothitch/gateway/forwarding/upstream_pool.py
@@ -57,6 +57,7 @@
     metrics : peridothitch.adapters.metrics.Metrics
     limits : peridothitch.gateway.forwarding.upstream_limits.UpstreamLimits
     evacuations : peridothitch.gateway.forwarding.evacuations.Evacuations
+    cold : peridothitch.gateway.forwarding.cold_upstreams.ColdUpstreams
     random_source : random.Random or None
 
     Attributes
@@ -66,13 +67,14 @@
     """
 
     def __init__(
-        self, settings, clock, metrics, limits, evacuations, random_source=None
+        self, settings, clock, metrics, limits, evacuations, cold, random_source=None
     ):
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
         self._limits = limits
         self._evacuations = evacuations
+        self._cold = cold
         self._random = random_source or random.Random()
         self._notices = upstream_notices.UpstreamNotices(clock, metrics)
         self._lock = threading.Lock()
@@ -134,6 +136,7 @@
                 and not self._evacuations.covers(entry.host)
                 and self._notices.may_send(entry.host)
                 and self._limits.may_send(entry.host)
+                and self._cold.may_send(entry.host)
             ]
             available = [
                 entry for entry in live if not entry.cooldown.is_active(now)
@@ -147,6 +150,7 @@
             estimate = placement.choose(need, states, self._random)
             chosen = self._entry_by_id[estimate.host_id].host
             self._limits.spend(chosen)
+            self._cold.spend(chosen)
             return chosen, estimate
 
     def _live_entries(self, service, allowed_regions=None):
@@ -173,7 +177,10 @@
             away = [e for e in entries if self._evacuations.covers(e.host)]
             if away and len(away) == len(entries):
                 return errors.Code.UPSTREAMS_EVACUATED
-            if any(self._limits.is_limited(entry.host) for entry in entries):
+            if any(
+                self._limits.is_limited(entry.host) or self._cold.is_cold(entry.host)
+                for entry in entries
+            ):
                 return errors.Code.UPSTREAMS_LIMITED
         return None
 
@@ -232,6 +239,7 @@
     def record_notice(self, host, status, metadata):
         """Record what an answer's head says of the upstream, such as that it leaves."""
         self._notices.record(host, status, metadata)
+        self._cold.record(host, metadata.cold_time)
 
     def begin_request(self, host, need):
         """Record that a request is sent; returns the uncached tokens of its prompt."""
--- a/src/peridothitch/platform/header_codec.py
+++ b/src/peridothitch/platform/header_codec.py
@@ -27,6 +27,7 @@
 _LIMIT = "server-limit"
 _LEAVING = "server-leaving"
 _RETRY_AFTER = "retry-after"
+_COLD_TIME = "peridothitch-cold-start-ms"
 
 _CONNECTION_FIELDS = frozenset(
     {
@@ -94,6 +95,7 @@
             request_limit=_to_limit(value_by_name.get(_LIMIT)),
             leaving=value_by_name.get(_LEAVING, "").strip() == "1",
             retry_after=_to_retry_after(value_by_name.get(_RETRY_AFTER)),
+            cold_time=_to_cold_time(value_by_name.get(_COLD_TIME)),
         )
 
     def to_upstream(self, fields, outbound):
@@ -192,6 +194,15 @@
         return None
 
 
+def _to_cold_time(text):
+    """Return a time, None if there is none or it can't be one."""
+    try:
+        time_left = float(text or "") * _MILLISECOND
+    except (ValueError, OverflowError):
+        return None
+    return time_left if time_left >= datetime.timedelta(0) else None
+
+
 def _to_limit(text):
     """Return a limit, infinite if there is none and NaN if it can't be read."""
     if text is None:
--- a/src/peridothitch/platform/record_codec.py
+++ b/src/peridothitch/platform/record_codec.py
@@ -36,6 +36,10 @@
 """Numbers in records of upstreams; entries of other writers may have any."""
 
 
+_Measure = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+"""Times and rates; entries of other writers may have any number."""
+
+
 class _Backend(msgspec.Struct, frozen=True):
     service: str
     weight: float = 1.0
@@ -75,6 +79,9 @@
 class _Service(msgspec.Struct, frozen=True):
     name: str
     scaling: _Scaling | None = None
+    # Both 0 where replicas take as much as ever once they have started.
+    cold_start_s: _Measure = 0.0
+    cold_per_s: _Measure = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -116,6 +123,7 @@
     # Unix milliseconds of the start; distinguishes two starts under the same id.
     born: _Count = 0
     spot_enabled: bool = False
+    cold_remaining_ms: _Measure = 0.0
 
 
 class _Versioned(msgspec.Struct, frozen=True):
@@ -198,6 +206,7 @@
             state=state,
             slots=record.capacity,
             incarnation=record.born,
+            cold_time=record.cold_remaining_ms * _MILLISECOND,
         )
 
     def decode_move(self, key, value):
@@ -303,6 +312,8 @@
             reclaimable_price=scaling.spot_price,
             price_by_data_centre=dict(scaling.zone_prices),
         ),
+        cold_time=service.cold_start_s * _SECOND,
+        cold_rate=service.cold_per_s,
     )
 
 
--- a/src/peridothitch/ports/forwarding.py
+++ b/src/peridothitch/ports/forwarding.py
@@ -133,10 +133,17 @@
     name : str
     scaling : Scaling or None
         None where no hosts can be ordered.
+    cold_time : datetime.timedelta
+        Time after its start in which an upstream is cold.
+    cold_rate : float
+        Requests a second that a cold upstream takes from all entry hosts together; 0
+        where that isn't limited.
     """
 
     name: str
     scaling: Scaling | None = None
+    cold_time: datetime.timedelta = datetime.timedelta(0)
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -300,6 +307,8 @@
         Whether the upstream tells that it leaves.
     retry_after : datetime.timedelta or None
         Time in which an upstream that refuses wants no request from this entry host.
+    cold_time : datetime.timedelta or None
+        Time for which the upstream stays cold; None if it doesn't tell.
     """
 
     request_id: str = ""
@@ -310,6 +319,7 @@
     request_limit: float = math.inf
     leaving: bool = False
     retry_after: datetime.timedelta | None = None
+    cold_time: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/peridothitch/ports/upstream.py
+++ b/src/peridothitch/ports/upstream.py
@@ -47,6 +47,8 @@
         Requests that the host processes concurrently; 0 if not known.
     incarnation : int
         Distinguishes successive starts of a host under the same id.
+    cold_time : datetime.timedelta
+        Time for which the host stays cold, from its list entry on.
     """
 
     host_id: str
@@ -62,6 +64,9 @@
     adapters: tuple[str, ...] = ()
     slots: int = 0
     incarnation: int = 0
+    cold_time: datetime.timedelta = dataclasses.field(
+        default=datetime.timedelta(0), compare=False
+    )
 
 
 class HostList(abc.ABC):
