Free what requests hold when their callers leave

A closed connection left its incomplete request counted; the library also drops requests queued behind one whose caller has left. Connections closed for lack of others are counted and logged with their address.

--- a/features/caller_crowd.py
+++ b/features/caller_crowd.py
@@ -19,6 +19,7 @@
 _SHORT_BYTES_BY_CHUNK_SIZE = {64 << 10: 1_000_000, 64: 950_000}
 """Content below the limit together with its framing."""
 
+_PIPELINED_BYTES = 100_000
 _SETTLED_SECONDS = 1.0
 _SETTLE_TIMEOUT_SECONDS = 60
 _MIXED = (
@@ -81,6 +82,9 @@
             in_chunks(*complete, is_complete=True)
         ),
         _MIXED[5]: lambda: _in_length(400_000_000, _pieces(_SENT_BYTES, 64 << 10)),
+        "pipelined bodies for an upstream that doesn't answer": lambda: _in_length(
+            _PIPELINED_BYTES, iter([b"x" * _PIPELINED_BYTES])
+        ),
         "a byte of a body each": lambda: _in_length(2, iter([b"x"])),
         _MIXED[6]: lambda: _chunked(in_chunks(_SENT_BYTES, 64 << 10)),
     }
@@ -156,10 +160,13 @@
             return
         field, parts = make_body(kind)
         self._barrier.wait()
+        head = self._make_head(number, field)
         with contextlib.suppress(OSError):
-            sock.sendall(self._make_head(number, field))
+            sock.sendall(head)
             for part in parts:
                 sock.sendall(part)
+            if kind.startswith("pipelined"):
+                sock.sendall(head + b"x" * _PIPELINED_BYTES)
 
 
 def _count_unread(port):
@@ -198,7 +205,9 @@
         return int(line.split()[1]) / 1024 + self._file_bytes / MEGABYTE
 
     def close(self):
-        """Sample once more, then stop."""
+        """Sample once more, then stop; no effect the second time."""
+        if self._stop.is_set():
+            return
         self._stop.set()
         self._thread.join()
         self._sample()
--- a/features/caller_crowds.feature
+++ b/features/caller_crowds.feature
@@ -69,3 +69,15 @@
       | in chunks of 64 KB   |
       | in chunks of 64 bytes |
       | after a 100 Continue |
+
+  Scenario Outline: Memory of requests whose callers have left stays counted
+    Given an entry host of the smallest size that forwards bodies up to 1 MiB
+    When 100 clients at once send <bodies>
+    And they leave and 100 others do the same, 3 times
+    Then an ordinary body of 1 MiB is answered and no request is counted any more
+
+    Examples:
+      | bodies                                              |
+      | a body with a length and stop one byte short        |
+      | complete bodies for an upstream that doesn't answer |
+      | pipelined bodies for an upstream that doesn't answer |
--- a/features/steps/caller_crowds_steps.py
+++ b/features/steps/caller_crowds_steps.py
@@ -110,10 +110,23 @@
 def send_crowd(context, count, bodies):
     benches.wait_until(lambda: context.ask() == 200, "an ordinary request is answered")
     context.sampler = caller_crowd.HeldSampler(context.process.pid)
-    kinds = caller_crowd.kinds_of(bodies, count)
-    crowd = caller_crowd.Crowd(context.port, context.make_head, kinds)
-    context.add_cleanup(crowd.close)
-    crowd.send()
+    context.add_cleanup(context.sampler.close)
+    context.kinds = caller_crowd.kinds_of(bodies, count)
+    _send(context)
+
+
+def _send(context):
+    context.crowd = caller_crowd.Crowd(context.port, context.make_head, context.kinds)
+    context.add_cleanup(context.crowd.close)
+    context.crowd.send()
+
+
+@behave.when("they leave and 100 others do the same, {count:d} times")
+def send_again(context, count):
+    for _ in range(count):
+        context.crowd.close()
+        _send(context)
+    context.crowd.close()
 
 
 @behave.then("the process is alive and answers an ordinary request beside them")
@@ -155,8 +168,26 @@
         context.response = benches.read_response(sock)
 
 
+@behave.then("an ordinary body of 1 MiB is answered and no request is counted any more")
+def check_left(context):
+    benches.wait_until(lambda: _held_bytes(context) == 0, "no request is counted")
+    send_one(context, "with a length")
+    check_one(context)
+
+
+def _held_bytes(context):
+    address = f"127.0.0.1:{context.ports['metrics']}"
+    body = processes.send_request(address, "GET", "/metrics").body.decode()
+    (line,) = [
+        line
+        for line in body.splitlines()
+        if line.startswith("peridothitch_request_bytes_held")
+    ]
+    return float(line.rpartition(" ")[2])
+
+
 @behave.then("it is answered with 200 and the upstream got the body")
 def check_one(context):
     assert context.response.status == 200, context.response
-    received = context.bench.received_requests()[-1].body
+    received = context.bench.replica_by_id["till-a"].received[-1].body
     assert received == b"x" * caller_crowd.BODY_LIMIT, len(received)
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -55,6 +55,7 @@
     context.ports = {
         "front": processes.free_port(),
         "ready": processes.free_port(),
+        "metrics": processes.free_port(),
         "store": context.bench.store_port,
     }
     settings = _SETTINGS.format(grace=1, **context.ports)
@@ -62,7 +63,10 @@
     command = [sys.executable, "-m", "peridothitch", "forward"]
     with context.log.open("wb") as log:
         context.process = subprocess.Popen(
-            [*command, "--settings", str(context.path)],
+            [
+                *(*command, "--settings", str(context.path)),
+                *("--metrics-port", str(context.ports["metrics"])),
+            ],
             stdout=log,
             stderr=subprocess.STDOUT,
             env=os.environ | {"PYTHONPATH": "src"},
--- a/src/peridothitch/adapters/caller_channel.py
+++ b/src/peridothitch/adapters/caller_channel.py
@@ -100,6 +100,12 @@
         self._check_request_timeout()
         self._check_write_timeout()
         if self._must_yield():
+            self.server.count_problem(
+                errors.RequestError(
+                    errors.Code.OVERLOADED,
+                    f"connections are short, one of {self.addr[0]} had no request",
+                )
+            )
             super().handle_close()
             return False
         return super().readable()
@@ -123,9 +129,9 @@
     def del_channel(self, map=None):
         """Forget the connection, which is closed, and free its incomplete request."""
         super().del_channel(map)
-        with self.requests_lock:
-            if self.request is not None:
-                self.request.close()
+        # A failed write may close the connection while the requests are locked.
+        if self.request is not None:
+            self.request.close()
 
     def handle_close(self):
         """Close the connection, or start to linger."""
--- a/src/peridothitch/adapters/request_parser.py
+++ b/src/peridothitch/adapters/request_parser.py
@@ -34,12 +34,17 @@
         super().__init__(adj)
         self._source = source
         self._parsed_head_bytes = 0
-        self._holding = adj.request_room.add(source, self.refuse)
+        self._holding = None
+
+    def __del__(self):
+        # The library drops requests behind one whose caller has left without closing
+        # them.
+        self.close()
 
     @property
     def is_stalled(self):
         """Whether the request has made too little progress."""
-        return self._holding.is_stalled
+        return self._holding is not None and self._holding.is_stalled
 
     def received(self, data):
         """Take a part of the input; returns the number of bytes taken."""
@@ -81,7 +86,8 @@
         """Free what the request holds."""
         super().close()
         self.header_plus = b""
-        self._holding.release()
+        if self._holding is not None:
+            self._holding.release()
 
     def _receive_body(self, data):
         body = self.body_rcv
@@ -97,6 +103,8 @@
         if self.error or self.empty:
             self.close()
             return
+        if self._holding is None:
+            self._holding = self.adj.request_room.add(self._source, self.refuse)
         size = len(self.header_plus) + self._parsed_head_bytes
         remaining = None
         if self.body_rcv is not None:
--- a/src/peridothitch/policy/request_room.py
+++ b/src/peridothitch/policy/request_room.py
@@ -102,6 +102,7 @@
         self._counted = 0
         self.size = 0
         self._remaining = None
+        self._is_released = False
         self._progress_size = 0
         self._progress_at = room.now()
 
@@ -134,8 +135,11 @@
         Returns
         -------
         bool
-            Whether there is room, after other requests have yielded if need be.
+            Whether there is room, after other requests have yielded if need be. False
+            once the request has been released.
         """
+        if self._is_released:
+            return False
         self.size = max(size, self.size)
         self._remaining = remaining
         if self.size - self._progress_size >= _PROGRESS_BYTES:
@@ -161,10 +165,12 @@
 
     def complete(self):
         """Yield no more; the bytes stay counted."""
+        self.refuse = None
         self._room.remove(self)
 
     def release(self):
         """Hold nothing any more."""
+        self._is_released = True
         self._room.remove(self)
         counted, self._counted = self._counted, 0
         self._room.held.remove(self._group, counted)
