--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -70,6 +70,7 @@
     context.ports = {
         "front": processes.free_port(),
         "ready": processes.free_port(),
+        "metrics": processes.free_port(),
         "store": context.bench.store_port,
         "helper": processes.free_port(),
     }
@@ -77,7 +78,10 @@
     command = [sys.executable, "-m", "peridothitch", "forward"]
     with context.log.open("wb") as log:
         context.process = subprocess.Popen(
-            [*command, "--settings", str(context.path)],
+            [
+                *(*command, "--settings", str(context.path)),
+                *("--metrics-port", str(context.ports["metrics"])),
+            ],
             stdout=log,
             stderr=subprocess.STDOUT,
             env=os.environ | {"PYTHONPATH": "src"},
