--- a/src/peridothitch/gateway/forwarding/attempt.py
+++ b/src/peridothitch/gateway/forwarding/attempt.py
@@ -3,11 +3,13 @@
 import dataclasses
 
 from peridothitch import errors
+from peridothitch.gateway.forwarding import room_account
 from peridothitch.ports import outcomes
 
 __all__ = ["Attempt", "AttemptDependencies"]
 
 _SERVER_ERROR_STATUS = 500
+_UNAVAILABLE_STATUS = 503
 _MIN_ANSWER_EVENTS = 2
 """An upstream that crashes when it begins an answer may send a first event."""
 
@@ -32,6 +34,7 @@
         Bytes of responses that are held for all requests.
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
+    room : peridothitch.gateway.forwarding.room_account.RoomAccount
     """
 
     upstreams: object
@@ -46,6 +49,9 @@
     held_bytes: object
     clock: object
     metrics: object
+    room: room_account.RoomAccount = dataclasses.field(
+        default_factory=room_account.RoomAccount
+    )
 
 
 class Attempt:
@@ -74,6 +80,8 @@
         self._first_byte = None
         self._event_count = 0
         self._is_answer_recorded = False
+        self._is_complete = False
+        self._is_refused = False
 
     def record_first_byte(self):
         """Record the arrival of the answer, or of a stream's first event, once."""
@@ -90,6 +98,12 @@
         self._deps.metrics.observe(
             "upstream_first_byte", self._first_byte, service=self.host.service
         )
+        self._deps.room.record_start(
+            self._job,
+            self.estimate,
+            self._first_byte.total_seconds(),
+            self._deps.clock.monotonic(),
+        )
 
     @property
     def event_count(self):
@@ -133,10 +147,34 @@
 
     def complete(self):
         """Report that the whole answer has arrived."""
+        self._is_complete = True
+        if self._first_byte is not None:
+            stream_time = self._upstream_time() - self._first_byte
+            self._deps.room.record_stream(
+                self._job, self.estimate, stream_time.total_seconds()
+            )
         if self.answer.status < _SERVER_ERROR_STATUS:
             self._record_answer()
         self._report(None, errors.Ran.YES)
 
+    def record_refusal(self):
+        """Record that the upstream had no room for the request."""
+        if self.estimate.is_modelled and self.answer.status == _UNAVAILABLE_STATUS:
+            now = self._deps.clock.monotonic()
+            self._is_refused = True
+            self._deps.upstreams.record_full(self.host)
+            self._deps.room.record_refused(self._job, self.estimate, now)
+
+    def _record_cut(self):
+        started = self._first_byte
+        self._deps.room.record_cut(
+            self._job,
+            self.estimate,
+            None if started is None else started.total_seconds(),
+            self._upstream_time().total_seconds(),
+            self._deps.clock.monotonic(),
+        )
+
     def fail(self, error):
         """Report the `peridothitch.errors.UpstreamError` that ended the answer."""
         self._report(error.code, error.ran)
@@ -170,6 +208,8 @@
         if self._is_released:
             return
         self._is_released = True
+        if not self._is_complete and not self._is_refused:
+            self._record_cut()
         if self.answer is not None:
             self.answer.close()
         self._deps.upstreams.end_request(
--- a/src/peridothitch/gateway/forwarding/handler.py
+++ b/src/peridothitch/gateway/forwarding/handler.py
@@ -8,7 +8,7 @@
 
 from peridothitch import errors
 from peridothitch.adapters import problems
-from peridothitch.gateway.forwarding import delivery, retrying_sender
+from peridothitch.gateway.forwarding import delivery, retrying_sender, room_keeper
 from peridothitch.gateway.forwarding import job as jobs
 from peridothitch.policy import admission, placement, route_index
 
@@ -46,6 +46,9 @@
         self._quotas = quotas
         self._busy_host_meter = busy_host_meter
         self._random = random.Random()
+        self._room = room_keeper.RoomKeeper(
+            deps.room, self._choose, lambda: self._active, deps.clock, deps.metrics
+        )
         self._active_lock = threading.Condition()
         self._active = 0
         self._last_arrival = deps.clock.monotonic()
@@ -152,7 +155,9 @@
         if job.customer is not None:
             reservation = self._quotas.reserve(job.customer, job.metadata.tokens)
         try:
-            sender = retrying_sender.RetryingSender(deps, job, self._admit(job))
+            sender = retrying_sender.RetryingSender(
+                deps, job, self._admit(job, response_writer)
+            )
             if job.may_repeat or job.route.streamed:
                 response_writer.on_disconnect(sender.cancel)
             status = delivery.deliver(deps, job, sender, response_writer)
@@ -170,7 +175,11 @@
             ms=int(elapsed_time.total_seconds() * 1000),
         )
 
-    def _admit(self, job):
+    def _choose(self, job):
+        versions = self._deps.moves.versions_for_request(job.service, job.route.name)
+        return self._deps.upstreams.choose(job.service, job.need, versions=versions)
+
+    def _admit(self, job, response_writer):
         """Refuse requests that can't end in time.
 
         Returns
@@ -186,12 +195,13 @@
                 errors.Code.DEADLINE_EXCEEDED, "it arrived too late"
             )
         self._check_drain(job, now)
-        versions = deps.moves.versions_for_request(job.service, job.route.name)
-        chosen = deps.upstreams.choose(job.service, job.need, versions=versions)
+        chosen = self._choose(job)
         if chosen is None:
             return None
         _, estimate = chosen
         self._busy_host_meter.record_request(job)
+        if estimate.is_modelled:
+            return self._room.admit(job, chosen, response_writer)
         expected = datetime.timedelta(seconds=estimate.seconds)
         elapsed = now - job.request.arrived
         retry_after = admission.refusal_delay(
--- a/src/peridothitch/gateway/forwarding/retrying_sender.py
+++ b/src/peridothitch/gateway/forwarding/retrying_sender.py
@@ -187,6 +187,10 @@
             )
         if chosen is None:
             raise self._exhausted("no upstream is left")
+        if self._arrival_count and not deps.room.can_end(
+            job, chosen[1], deps.clock.monotonic()
+        ):
+            raise self._exhausted("it can't end in time at another upstream")
         return chosen
 
     def _send(self, attempt, last_event_id):
@@ -264,6 +268,7 @@
         metadata, status = attempt.answer.metadata, attempt.answer.status
         if metadata.not_executed or status == _MISDIRECTED_STATUS:
             self._arrival_count += 1
+            attempt.record_refusal()
             self._read_to_end(attempt.answer)
             raise errors.UpstreamError(
                 errors.Code.UPSTREAM_REFUSED, f"status {status}", errors.Ran.NO
--- a/src/peridothitch/gateway/forwarding/upstream_pool.py
+++ b/src/peridothitch/gateway/forwarding/upstream_pool.py
@@ -8,7 +8,7 @@
 
 import logbook
 
-from peridothitch.gateway.forwarding import upstream_notices
+from peridothitch.gateway.forwarding import full_upstreams, upstream_notices
 from peridothitch.policy import placement, prompt_cache, upstream_cooldown
 from peridothitch.ports import upstream
 
@@ -70,6 +70,7 @@
         self._limits = limits
         self._random = random_source or random.Random()
         self._notices = upstream_notices.UpstreamNotices(clock, metrics)
+        self._full = full_upstreams.FullUpstreams(clock)
         self._lock = threading.Lock()
         self._entry_by_id = {}
         self._work_seconds_by_service = {}
@@ -132,6 +133,9 @@
             available = [
                 entry for entry in live if not entry.cooldown.is_active(now)
             ] or live
+            available = [
+                entry for entry in available if self._full.has_room(entry.host)
+            ] or available
             if not available:
                 return None
             if not need.prompt_tokens:
@@ -214,6 +218,10 @@
         """Record what an answer's head says of the upstream, such as that it leaves."""
         self._notices.record(host, status, metadata)
 
+    def record_full(self, host):
+        """Record that an upstream refused a request for want of room."""
+        self._full.record(host)
+
     def begin_request(self, host, need):
         """Record that a request is sent; returns the uncached tokens of its prompt."""
         now = self._now_seconds()
--- a/src/peridothitch/platform/header_codec.py
+++ b/src/peridothitch/platform/header_codec.py
@@ -179,9 +179,10 @@
 
 def _to_load(text):
     numbers = (text or "").split(",")
-    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
+    if len(numbers) not in (3, 4) or not all(n.strip().isdigit() for n in numbers):
         return None
-    return forwarding.Load(*map(int, numbers))
+    pace = int(numbers[3]) / 100 if len(numbers) == 4 else None
+    return forwarding.Load(*map(int, numbers[:3]), pace=pace)
 
 
 def _to_retry_after(text):
--- a/src/peridothitch/policy/placement.py
+++ b/src/peridothitch/policy/placement.py
@@ -108,6 +108,10 @@
     cached_tokens : float
     load_age : float or None
         Seconds since its last report.
+    token_seconds : float or None
+        Expected seconds per output token.
+    is_modelled : bool
+        Whether the estimate rests on the pace that upstreams tell.
     """
 
     host_id: str
@@ -116,6 +120,8 @@
     busy: int = 0
     cached_tokens: float = 0.0
     load_age: float | None = None
+    token_seconds: float | None = None
+    is_modelled: bool = False
 
 
 def estimate(need, state):
