--- a/src/peridothitch/gateway/forwarding/room_account.py
+++ b/src/peridothitch/gateway/forwarding/room_account.py
@@ -109,11 +109,7 @@
             if is_admitted:
                 kind = self._kind_by_route[job.route.name]
                 kind.record_admitted(ticket.is_large, _seconds(now))
-            if decision.reason in (
-                room.Reason.SPARE_ROOM,
-                room.Reason.LATE,
-                room.Reason.CANNOT_END,
-            ):
+            if decision.reason in room.UPSTREAM_REASONS:
                 self._record_late(job, ticket.work, now)
 
     def use_of(self, job, now):
--- a/src/peridothitch/gateway/forwarding/room_keeper.py
+++ b/src/peridothitch/gateway/forwarding/room_keeper.py
@@ -11,6 +11,9 @@
 
 __all__ = ["RoomKeeper"]
 
+_MAX_LOOKS = 3
+"""Choices made before a request waits or is refused: each compares a few upstreams."""
+
 _log = logbook.Logger("forwarding")
 
 
@@ -55,7 +58,7 @@
         """
         now = self._clock.monotonic()
         ticket = self._account.open(job, chosen[1], self._random.random(), now)
-        decision, prospect = self._account.judge(ticket, *chosen, now)
+        chosen, decision, prospect = self._look(ticket, chosen, now)
         if decision.verdict is room.Verdict.WAIT:
             chosen, decision, prospect = self._wait(
                 ticket, chosen, decision, prospect, response_writer
@@ -73,6 +76,20 @@
             return chosen
         raise self._refusal(decision, prospect)
 
+    def _look(self, ticket, chosen, now):
+        """Return the first upstream with room, its decision and prospect."""
+        decision, prospect = self._account.judge(ticket, *chosen, now)
+        for _ in range(_MAX_LOOKS - 1):
+            if decision.reason not in room.UPSTREAM_REASONS:
+                break
+            other = self._choose(ticket.job)
+            if other is None:
+                break
+            found, other_prospect = self._account.judge(ticket, *other, now)
+            if other_prospect.start < prospect.start:
+                chosen, decision, prospect = other, found, other_prospect
+        return chosen, decision, prospect
+
     def _wait(self, ticket, chosen, decision, prospect, response_writer):
         job = ticket.job
         place = waiting_room.Place(
--- a/src/peridothitch/policy/request_kinds.py
+++ b/src/peridothitch/policy/request_kinds.py
@@ -11,10 +11,10 @@
 __all__ = ["RequestKind", "RequestSize"]
 
 _ERROR_STEP = 0.05
-_MIN_ERROR, _MAX_ERROR = 0.6, 4.0
+_MIN_ERROR, _MAX_ERROR = 0.3, 4.0
 """Bounds on the learnt ratio of actual to expected times."""
 
-_START_QUANTILE = 0.8
+_START_QUANTILE = 0.6
 _MIN_START_SHARE = 0.3
 _STREAM_QUANTILE = 0.7
 """Share of the requests that take no longer than expected once the error is learnt."""
--- a/src/peridothitch/policy/room.py
+++ b/src/peridothitch/policy/room.py
@@ -15,6 +15,7 @@
     "Pressure",
     "Prospect",
     "Reason",
+    "UPSTREAM_REASONS",
     "Verdict",
     "decide",
     "longest_wait",
@@ -62,6 +63,10 @@
     BEYOND_SHARE = "beyond_share"
 
 
+UPSTREAM_REASONS = frozenset({Reason.SPARE_ROOM, Reason.CANNOT_END, Reason.LATE})
+"""Reasons that another upstream could remove."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Decision:
     """A verdict with its reason."""
