--- a/src/peridothitch/gateway/forwarding/attempt.py
+++ b/src/peridothitch/gateway/forwarding/attempt.py
@@ -163,6 +163,7 @@
             now = self._deps.clock.monotonic()
             self._is_refused = True
             self._deps.upstreams.record_full(self.host)
+            self._deps.metrics.count("upstreams_full", service=self.host.service)
             self._deps.room.record_refused(self._job, self.estimate, now)
 
     def _record_cut(self):
