--- a/src/peridothitch/policy/request_kinds.py
+++ b/src/peridothitch/policy/request_kinds.py
@@ -14,7 +14,7 @@
 _MIN_ERROR, _MAX_ERROR = 0.3, 4.0
 """Bounds on the learnt ratio of actual to expected times."""
 
-_START_QUANTILE = 0.6
+_START_QUANTILE = 0.7
 _MIN_START_SHARE = 0.3
 _STREAM_QUANTILE = 0.7
 """Share of the requests that take no longer than expected once the error is learnt."""
