Learn how fast upstreams work, from the answers at all entry hosts

Cause: placement and orders assumed that engines read 100,000 prompt tokens a second. Where they read a third of it, a third of the replicas needed were ordered. An entry host sees an upstream too rarely to learn its speed alone.

Change: hosts report their measurements with the reports that they send already, the holder fits one model of each service and replies with it. A service is modelled once an upstream tells a pace (fourth figure of its load), or once the answers at all hosts show a rate that differs from the assumed one by a factor of two. For modelled services placement compares a few drawn upstreams and the owners of the shared part by the expected time, and orders use the learnt work of a request and a utilization that follows from the routes' targets.

--- a/src/peridothitch/gateway/forwarding/attempt.py
+++ b/src/peridothitch/gateway/forwarding/attempt.py
@@ -7,6 +7,7 @@
 
 __all__ = ["Attempt", "AttemptDependencies"]
 
+_CLIENT_ERROR_STATUS = 400
 _SERVER_ERROR_STATUS = 500
 _MIN_ANSWER_EVENTS = 2
 """An upstream that crashes when it begins an answer may send a first event."""
@@ -87,6 +88,14 @@
             self.estimate.seconds,
             self._first_byte.total_seconds(),
         )
+        if self.answer is not None and self.answer.status < _CLIENT_ERROR_STATUS:
+            self._deps.upstreams.models.record_first_piece(
+                self.host,
+                self._job.need,
+                self._uncached_tokens,
+                self.estimate,
+                self._first_byte.total_seconds(),
+            )
         self._deps.metrics.observe(
             "upstream_first_byte", self._first_byte, service=self.host.service
         )
@@ -135,6 +144,11 @@
         """Report that the whole answer has arrived."""
         if self.answer.status < _SERVER_ERROR_STATUS:
             self._record_answer()
+        if self._first_byte is not None:
+            streaming = self._upstream_time() - self._first_byte
+            self._deps.upstreams.models.record_answer(
+                self, self._job, streaming.total_seconds()
+            )
         self._report(None, errors.Ran.YES)
 
     def fail(self, error):
--- a/src/peridothitch/gateway/forwarding/busy_host_meter.py
+++ b/src/peridothitch/gateway/forwarding/busy_host_meter.py
@@ -23,10 +23,12 @@
     Parameters
     ----------
     clock : peridothitch.ports.clock.Clock
+    models : peridothitch.gateway.forwarding.upstream_models.UpstreamModels or None
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, models=None):
         self._clock = clock
+        self._models = models
         self._lock = threading.Lock()
         self._busy_by_service = {}
         self._started_at = None
@@ -34,10 +36,16 @@
     def record_request(self, job):
         """Add a request that was admitted or refused because of load."""
         output = job.metadata.expected_tokens or job.metadata.output_tokens
-        work_seconds = (
-            job.need.prompt_tokens / placement.TOKENS_PER_SECOND
-            + output * _SECONDS_PER_OUTPUT_TOKEN
-        )
+        work_seconds = None
+        if self._models is not None:
+            work_seconds = self._models.busy_seconds(
+                job.service, job.need.prompt_tokens, output
+            )
+        if work_seconds is None:
+            work_seconds = (
+                job.need.prompt_tokens / placement.TOKENS_PER_SECOND
+                + output * _SECONDS_PER_OUTPUT_TOKEN
+            )
         now = self._clock.monotonic().total_seconds()
         with self._lock:
             if self._started_at is None:
--- a/src/peridothitch/gateway/forwarding/capacity_duty.py
+++ b/src/peridothitch/gateway/forwarding/capacity_duty.py
@@ -45,6 +45,7 @@
     metrics : peridothitch.adapters.metrics.Metrics
     is_limited : callable
         Returns whether a `peridothitch.ports.upstream.Host` limits its requests.
+    models : peridothitch.gateway.forwarding.upstream_models.UpstreamModels or None
     """
 
     def __init__(
@@ -59,8 +60,10 @@
         clock,
         metrics,
         is_limited,
+        models=None,
     ):
         self._client = client
+        self._models = models
         self._is_limited = is_limited
         self._lease = fenced_lease
         self._reports = reports
@@ -128,7 +131,13 @@
     def _order_hosts(self, service, busy):
         data_centres = sorted(self._settings.region_by_data_centre)
         supply = self._supply(service.name)
-        wanted = capacity_plan.plan(busy, service.scaling, data_centres, supply)
+        wanted = capacity_plan.plan(
+            busy,
+            service.scaling,
+            data_centres,
+            supply,
+            **self._utilization(service.name),
+        )
         orders = [
             order
             for data_centre in data_centres
@@ -149,6 +158,22 @@
                 checked_at = self._clock.monotonic()
             self._order(order, present, busy)
 
+    def _utilization(self, service):
+        """Return the argument of a plan for a service whose speed is known."""
+        waits = self._models.waits(service) if self._models is not None else None
+        if waits is None:
+            return {}
+        objectives = [
+            route.latency_objective.total_seconds()
+            for route in self._catalogue.table.routes
+            if any(share.service == service for share in route.shares)
+        ]
+        if not objectives:
+            return {}
+        utilization = capacity_plan.target_utilization(min(objectives), *waits)
+        self._metrics.set("target_utilization", utilization, service=service)
+        return {"target_utilization": utilization}
+
     def _is_due(self, order, present):
         now = self._clock.monotonic()
         count, due = self._due_by_order.get(_order_key(order), (None, now))
--- a/src/peridothitch/gateway/forwarding/duty_factory.py
+++ b/src/peridothitch/gateway/forwarding/duty_factory.py
@@ -28,6 +28,7 @@
     move_records : peridothitch.gateway.forwarding.move_records.MoveRecords
     version_moves : peridothitch.gateway.forwarding.version_moves.VersionMoves
     limits : peridothitch.gateway.forwarding.upstream_limits.UpstreamLimits
+    models : peridothitch.gateway.forwarding.upstream_models.UpstreamModels
     shared_clock : peridothitch.gateway.forwarding.peer_sync.SharedClock
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
@@ -44,6 +45,7 @@
     move_records: object
     version_moves: object
     limits: object
+    models: object
     shared_clock: object
     clock: object
     metrics: object
@@ -92,6 +94,7 @@
                 deps.clock,
                 deps.metrics,
                 deps.limits.is_limited,
+                deps.models,
             )
         )
     return duties
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -30,6 +30,7 @@
     retry_budgets,
     store_mirrors,
     upstream_limits,
+    upstream_models,
     upstream_pool,
     usage_counter,
     version_moves,
@@ -83,7 +84,6 @@
         self._runner = None
         self.metrics = metrics.Metrics()
         self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
-        store = platform.store
         self._helper_server = helper_server.HelperServer(
             platform.header_codec, settings.helper_address, clock, self.metrics
         )
@@ -95,7 +95,7 @@
                 seeds=settings.seed_addresses,
                 helper_address=self._helper_server.address,
             ),
-            store,
+            platform.store,
             clock,
             self.metrics,
         )
@@ -120,9 +120,10 @@
         self._budgets = retry_budgets.RetryBudgets(
             settings.bounds, self._count_hosts, self.metrics
         )
-        self._busy = busy_host_meter.BusyHostMeter(clock)
+        self._models = upstream_models.UpstreamModels(clock, self.metrics)
+        self._busy = busy_host_meter.BusyHostMeter(clock, self._models)
         self._lease = lease.FencedLease(
-            store,
+            platform.store,
             lease.LeaseTerms(
                 name=duty_runner.LEASE_NAME,
                 ttl=settings.bounds.lease_time,
@@ -162,7 +163,7 @@
             self.metrics,
         )
         self._upstreams = upstream_pool.UpstreamPool(
-            settings, clock, self.metrics, self._limits
+            settings, clock, self.metrics, self._limits, self._models
         )
         self._paths = path_links.make_paths(
             settings, platform.header_codec, peers, clock, self.metrics
@@ -170,7 +171,7 @@
         self._part_guard = part_guard.PartGuard(
             settings.host_id,
             self._fleet.facts,
-            part_records.PartRecords(store, leases),
+            part_records.PartRecords(platform.store, leases),
             self._paths.is_down,
             self._shared_clock,
             self.metrics,
@@ -189,7 +190,7 @@
         self.catalogue.subscribe(self._apply_table, self._apply_hosts)
         pages = status_pages.StatusPages(self.is_ready, self.metrics)
         addresses = filter(None, (settings.ready_address, metrics_address))
-        self._status_servers = [pages.make_server(address) for address in addresses]
+        self._status_servers = list(map(pages.make_server, addresses))
         self._background = concurrent.futures.ThreadPoolExecutor(
             _BACKGROUND_THREADS, thread_name_prefix="background"
         )
@@ -203,6 +204,7 @@
             self._clock,
             self.metrics,
             self._final_counts,
+            self._models,
         )
 
     def _attempt_dependencies(self):
@@ -235,6 +237,7 @@
                 move_records=self._move_records,
                 version_moves=self._moves,
                 limits=self._limits,
+                models=self._models,
                 shared_clock=self._shared_clock,
                 clock=self._clock,
                 metrics=self.metrics,
@@ -392,5 +395,6 @@
             busy_by_service=self._busy.busy_by_service(),
             size_by_customer=self._quotas.sizes(),
             lenders_digest=self._quotas.lenders_digest,
+            answers_by_service=self._models.take_answers(),
             **fleet_messages.statement_fields(statement),
         )
--- a/src/peridothitch/gateway/forwarding/fleet_messages.py
+++ b/src/peridothitch/gateway/forwarding/fleet_messages.py
@@ -2,7 +2,15 @@
 
 import msgspec
 
-__all__ = ["FleetView", "HostReport", "ProcessCounts", "statement_fields"]
+__all__ = [
+    "Answers",
+    "FleetView",
+    "HostReport",
+    "Line",
+    "ProcessCounts",
+    "ServiceSpeed",
+    "statement_fields",
+]
 
 
 class ProcessCounts(msgspec.Struct, frozen=True, array_like=True):
@@ -13,6 +21,33 @@
     counts_by_window: dict[int, dict[str, int]]
 
 
+class Answers(msgspec.Struct, frozen=True, array_like=True):
+    """Measurements of one service; see `upstream_model.ServiceModel.take_pending`."""
+
+    pieces: tuple[tuple[str, float, float], ...]
+    streams: tuple[tuple[float, float], ...]
+
+
+class Line(msgspec.Struct, frozen=True, array_like=True):
+    """A `peridothitch.policy.sampled_line.LineFit` with its age in seconds."""
+
+    intercept: float
+    slope: float
+    weight: int
+    spread: float
+    age_seconds: float
+    span: float
+
+
+class ServiceSpeed(msgspec.Struct, frozen=True, array_like=True):
+    """A `peridothitch.policy.upstream_speeds.SharedSpeed`."""
+
+    reads: Line | None
+    tokens: Line | None
+    wait_seconds: float
+    deviation_by_host: dict[str, float]
+
+
 class HostReport(msgspec.Struct, frozen=True, array_like=True):
     """Report of one entry host.
 
@@ -52,6 +87,8 @@
         Highest fencing number of a holder that it has seen in each of the last eras.
     ended_number, unknown_window : int
         See `peridothitch.gateway.forwarding.final_counts.Statement`.
+    answers_by_service : dict of str to Answers
+        What this host has measured since its last report, of modelled services.
     """
 
     host_id: str
@@ -72,6 +109,7 @@
     seen_numbers: tuple[int, ...] = ()
     ended_number: int = 0
     unknown_window: int = 0
+    answers_by_service: dict[str, Answers] = {}
 
 
 def statement_fields(statement):
@@ -104,6 +142,8 @@
         Hosts to ask for what does not fit into the own share; None if the host that
         reports knows them.
     lenders_digest : int
+    speed_by_service : dict of str to ServiceSpeed
+        What all hosts have learnt together of modelled services.
     """
 
     host_count: int
@@ -112,3 +152,4 @@
     age_seconds: float
     lenders_by_customer: dict[str, tuple[str, ...]] | None = None
     lenders_digest: int = 0
+    speed_by_service: dict[str, ServiceSpeed] = {}
--- a/src/peridothitch/gateway/forwarding/fleet_reports.py
+++ b/src/peridothitch/gateway/forwarding/fleet_reports.py
@@ -76,6 +76,8 @@
     metrics : peridothitch.adapters.metrics.Metrics
     known_counts : peridothitch.gateway.forwarding.final_counts.FinalCounts
         Receives what other hosts have reported to the platform.
+    models : peridothitch.gateway.forwarding.upstream_models.UpstreamModels or None
+        Learns from what all hosts have measured.
 
     Attributes
     ----------
@@ -92,9 +94,11 @@
         clock,
         metrics,
         known_counts,
+        models=None,
     ):
         self._peers = peers
         self._final_counts = known_counts
+        self._models = models
         self._find_holder = find_holder
         self._make_report = make_report
         self._find_terms = find_terms
@@ -193,6 +197,8 @@
     def _apply_view(self, view):
         self._view_at = self._clock.monotonic()
         self.view = view
+        if self._models is not None:
+            self._models.apply(view.speed_by_service)
         for callback in self._view_callbacks:
             callback(view)
 
@@ -210,6 +216,8 @@
             report.host_id, report.incarnation, report.counts_by_window
         )
         self._final_counts.receive(_statement(report))
+        if self._models is not None:
+            self._models.receive(report.answers_by_service)
         # Backdated, so that a stopping process's counts are forwarded at once.
         at = now - _DEPARTED_AGE if report.is_final else now
         with self._lock:
@@ -275,6 +283,7 @@
             age,
             lenders if digest != report.lenders_digest else None,
             digest,
+            self._models.shared_speeds() if self._models is not None else {},
         )
 
     def busy_by_service(self):
--- a/src/peridothitch/gateway/forwarding/upstream_notices.py
+++ b/src/peridothitch/gateway/forwarding/upstream_notices.py
@@ -47,6 +47,8 @@
         status : int
         metadata : peridothitch.ports.forwarding.ResponseMetadata
         """
+        if metadata.has_bad_load:
+            self._metrics.count("bad_upstream_loads", service=host.service)
         if metadata.leaving:
             self._record_leaving(host)
         if status == _UNAVAILABLE_STATUS and metadata.retry_after is not None:
--- a/src/peridothitch/gateway/forwarding/upstream_pool.py
+++ b/src/peridothitch/gateway/forwarding/upstream_pool.py
@@ -9,7 +9,12 @@
 import logbook
 
 from peridothitch.gateway.forwarding import upstream_notices
-from peridothitch.policy import placement, prompt_cache, upstream_cooldown
+from peridothitch.policy import (
+    part_owners,
+    placement,
+    prompt_cache,
+    upstream_cooldown,
+)
 from peridothitch.ports import upstream
 
 __all__ = ["UpstreamPool"]
@@ -55,15 +60,18 @@
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
     limits : peridothitch.gateway.forwarding.upstream_limits.UpstreamLimits
+    models : peridothitch.gateway.forwarding.upstream_models.UpstreamModels
     random_source : random.Random or None
 
     Attributes
     ----------
     revision : int
         Store revision up to which changes of the hosts are applied.
+    models : peridothitch.gateway.forwarding.upstream_models.UpstreamModels
+        What has been learnt of their speed.
     """
 
-    def __init__(self, settings, clock, metrics, limits, random_source=None):
+    def __init__(self, settings, clock, metrics, limits, models, random_source=None):
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
@@ -73,6 +81,8 @@
         self._lock = threading.Lock()
         self._entry_by_id = {}
         self._work_seconds_by_service = {}
+        self._owners_by_service = {}
+        self.models = models
         self.revision = 0
 
     def update(self, host_by_id, revision=0):
@@ -96,6 +106,7 @@
                 entry.host = host
                 entry_by_id[host_id] = entry
             self._entry_by_id = entry_by_id
+        self.models.update(host_by_id.values())
 
     def _nearness(self, host):
         if host.data_centre == self._settings.data_centre:
@@ -137,12 +148,60 @@
             if not need.prompt_tokens:
                 work = self._work_seconds_by_service.get(service, _INITIAL_WORK_SECONDS)
                 need = dataclasses.replace(need, work_seconds=work)
-            states = [self._state(entry, need, seconds) for entry in available]
+            if self.models.is_modelled(service):
+                states = self._modelled_states(available, need, seconds)
+            else:
+                states = [self._state(entry, need, seconds) for entry in available]
             estimate = placement.choose(need, states, self._random)
             chosen = self._entry_by_id[estimate.host_id].host
             self._limits.spend(chosen)
             return chosen, estimate
 
+    def _modelled_states(self, available, need, seconds):
+        """Return the states of the upstreams to compare."""
+        shared = need.prompt_parts[:-1]
+        preferred_ids = ()
+        if shared:
+            preferred_ids = self._owners(available[0].host.service, shared, seconds)
+        preferred, others_by_nearness = [], {}
+        for entry in available:
+            if entry.host.host_id in preferred_ids:
+                preferred.append(entry)
+            others_by_nearness.setdefault(entry.nearness, []).append(entry)
+        shared_tokens = sum(tokens for _, tokens in shared)
+        states = []
+        for entry in placement.draw(
+            others_by_nearness,
+            preferred,
+            lambda entry: self.models.factor(entry.host),
+            self._random,
+        ):
+            state = self._state(entry, need, seconds)
+            factor = 1.0 if need.prompt_tokens else self.models.factor(entry.host)
+            failures = 1.0 + _FAILURE_SLOWNESS * entry.failure_rate
+            states.append(
+                dataclasses.replace(
+                    state,
+                    speed=self.models.speed(entry.host),
+                    slowness=factor * failures,
+                    uncertain_tokens=max(0.0, shared_tokens - state.cached_tokens),
+                    is_preferred=entry.host.host_id in preferred_ids,
+                )
+            )
+        return states
+
+    def _owners(self, service, shared, seconds):
+        """Return the ids of the upstreams where shared parts are expected."""
+        owners = self._owners_by_service.setdefault(service, part_owners.PartOwners())
+        live = self._live_entries(service)
+        nearest = min((entry.nearness for entry in live), default=0)
+        near_ids = [e.host.host_id for e in live if e.nearness <= max(1, nearest)]
+        return owners.owners(shared[-1][0], near_ids, seconds)
+
+    def is_modelled(self, service):
+        """Return whether the speed of a service's upstreams is learnt from answers."""
+        return self.models.is_modelled(service)
+
     def _live_entries(self, service):
         return [
             entry
@@ -224,6 +283,11 @@
             cached = entry.cache.cached_tokens(need.prompt_parts, now)
             entry.cache.record_sent(need.prompt_parts, now)
             uncached_tokens = max(0.0, need.prompt_tokens - cached)
+            owners = self._owners_by_service.get(host.service)
+            if owners is not None and need.prompt_parts:
+                last_shared = need.prompt_parts[-2:-1]
+                part_id = last_shared[0][0] if last_shared else ""
+                owners.record(part_id, uncached_tokens, now)
             entry.in_flight += 1
             entry.backlog_tokens += uncached_tokens
             return uncached_tokens
@@ -260,6 +324,7 @@
             if entry is not None:
                 entry.load = load
                 entry.load_at = now
+        self.models.record_load(host, load)
 
     def record_result(self, host, failed):
         """Record whether an answer that was read was a failure."""
--- a/src/peridothitch/platform/header_codec.py
+++ b/src/peridothitch/platform/header_codec.py
@@ -1,5 +1,6 @@
 """Header fields of requests and answers on the platform."""
 
+import dataclasses
 import datetime
 import math
 
@@ -28,6 +29,13 @@
 _LEAVING = "server-leaving"
 _RETRY_AFTER = "retry-after"
 
+_USUAL_PACE = 100
+"""Fourth figure of the load of an upstream whose work takes as long as usual."""
+
+_PACE_RANGE = (0.01, 1000.0)
+_MAX_COUNT_DIGITS = 9
+"""Figures beyond these bounds are not measurements."""
+
 _CONNECTION_FIELDS = frozenset(
     {
         "connection",
@@ -85,12 +93,15 @@
     def read_response(self, fields):
         """Return the metadata of an upstream's answer."""
         value_by_name = _value_by_name(fields)
+        load_text = value_by_name.get(_LOAD)
+        load = _to_load(load_text)
         return forwarding.ResponseMetadata(
             request_id=value_by_name.get(_REQUEST_ID, ""),
             signed=bool(value_by_name.get(_SIGNATURE)),
             not_executed=_NOT_EXECUTED in value_by_name,
             host_id=value_by_name.get(_HOST_ID, ""),
-            load=_to_load(value_by_name.get(_LOAD)),
+            load=load,
+            has_bad_load=load_text is not None and load is None,
             request_limit=_to_limit(value_by_name.get(_LIMIT)),
             leaving=value_by_name.get(_LEAVING, "").strip() == "1",
             retry_after=_to_retry_after(value_by_name.get(_RETRY_AFTER)),
@@ -179,9 +190,20 @@
 
 def _to_load(text):
     numbers = (text or "").split(",")
-    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
+    if len(numbers) not in (3, 4) or not all(map(_is_count, numbers)):
+        return None
+    load = forwarding.Load(*map(int, numbers[:3]))
+    if len(numbers) == 3:
+        return load
+    pace = int(numbers[3]) / _USUAL_PACE
+    if not _PACE_RANGE[0] <= pace <= _PACE_RANGE[1]:
         return None
-    return forwarding.Load(*map(int, numbers))
+    return dataclasses.replace(load, pace=pace)
+
+
+def _is_count(text):
+    text = text.strip()
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_COUNT_DIGITS
 
 
 def _to_retry_after(text):
--- a/src/peridothitch/policy/capacity_plan.py
+++ b/src/peridothitch/policy/capacity_plan.py
@@ -20,11 +20,17 @@
     "next_orders",
     "plan",
     "smoothed_load",
+    "target_utilization",
 ]
 
 _TARGET_UTILIZATION = 0.6
 """Utilization of a host up to which answers are on time."""
 
+_LATE_SHARE = 0.05
+"""Share of requests that may find more work in progress than their target allows."""
+
+_UTILIZATION_RANGE = 0.3, 0.8
+_BISECTION_COUNT = 12
 _SUBSTITUTE_UTILIZATION = 0.9
 """Utilization of a host above which on-demand hosts are added."""
 
@@ -137,7 +143,36 @@
     return math.ceil(busy_hosts / target_utilization)
 
 
-def plan(busy_hosts, scaling, data_centres, supply):
+def target_utilization(objective_seconds, first_seconds, residual_seconds):
+    """Return the utilization up to which first pieces are in time.
+
+    An arrival finds work in progress with the probability of the utilization, and
+    waits longer than t with that probability times exp(-t (1 - utilization) / rest),
+    as in the M/G/1 queue with an exponential rest of work.
+
+    Parameters
+    ----------
+    objective_seconds : float
+        Target time to the first piece, the shortest of the service's routes.
+    first_seconds : float
+        Time to the first piece without waiting.
+    residual_seconds : float
+        Mean rest of the work in progress.
+    """
+    slack = max(0.0, objective_seconds - first_seconds) / max(residual_seconds, 1e-3)
+    low, high = _UTILIZATION_RANGE
+    for _ in range(_BISECTION_COUNT):
+        middle = (low + high) / 2
+        if middle * math.exp(-slack * (1 - middle)) > _LATE_SHARE:
+            high = middle
+        else:
+            low = middle
+    return low
+
+
+def plan(
+    busy_hosts, scaling, data_centres, supply, target_utilization=_TARGET_UTILIZATION
+):
     """Return the `CapacityPlan` for a service.
 
     Parameters
@@ -148,8 +183,10 @@
     data_centres : sequence of str
         Data centres in which the service may run.
     supply : Supply
+    target_utilization : float
+        Highest utilization of a host.
     """
-    needed = hosts_needed(busy_hosts)
+    needed = hosts_needed(busy_hosts, target_utilization)
     remaining = max(1, len(data_centres) - 1)
     count_per_data_centre = max(
         _LEAST_HOST_COUNT, scaling.minimum, math.ceil(needed / remaining)
--- a/src/peridothitch/policy/placement.py
+++ b/src/peridothitch/policy/placement.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 import xxhash
 
@@ -16,6 +17,7 @@
     "RequestNeed",
     "UpstreamState",
     "choose",
+    "draw",
     "estimate",
 ]
 
@@ -25,6 +27,15 @@
 _DISTANCE_COST_SECONDS_BY_NEARNESS = {0: 0.0, 1: 0.012, 2: 0.060}
 """Price of the traffic, as equivalent seconds of delay."""
 
+_DRAWN_COUNT_BY_NEARNESS = {0: 2, 1: 1, 2: 1}
+"""Upstreams drawn for a comparison, by nearness."""
+
+_MIN_SLOWNESS = 0.5
+"""Slowness from which upstreams are drawn each time."""
+
+_REPORT_DECAY_SECONDS = 0.5
+"""Age of a report at which the load has likely changed."""
+
 _AFFINITY_HIT_PROBABILITY = 0.3
 """Probability that the preferred host recently read a request's last shared part."""
 
@@ -78,6 +89,12 @@
         Ratio of recent to estimated answer times.
     load_age : float or None
         Seconds since its last report, None before the first one.
+    speed : peridothitch.policy.upstream_speeds.Speed or None
+        Its speed as learnt from answers, None where it isn't known.
+    uncertain_tokens : float
+        Tokens that only other entry hosts may have had cached there.
+    is_preferred : bool
+        Whether all entry hosts expect the shared parts of the prompt there.
     """
 
     host_id: str
@@ -90,6 +107,9 @@
     cached_tokens: float = 0.0
     slowness: float = 1.0
     load_age: float | None = None
+    speed: object = None
+    uncertain_tokens: float = 0.0
+    is_preferred: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,6 +128,15 @@
     cached_tokens : float
     load_age : float or None
         Seconds since its last report.
+    token_seconds : float or None
+        Expected time per output token, None where it isn't known.
+    is_modelled : bool
+        Whether the times are based on the speed learnt from answers.
+    queued_tokens : float
+        Tokens that the upstream reads first, as far as known.
+    uncertain_tokens : float
+    is_preferred : bool
+        See `UpstreamState`.
     """
 
     host_id: str
@@ -116,10 +145,17 @@
     busy: int = 0
     cached_tokens: float = 0.0
     load_age: float | None = None
+    token_seconds: float | None = None
+    is_modelled: bool = False
+    queued_tokens: float = 0.0
+    uncertain_tokens: float = 0.0
+    is_preferred: bool = False
 
 
 def estimate(need, state):
     """Return the `Estimate` of one upstream."""
+    if state.speed is not None and not need.work_seconds:
+        return _modelled_estimate(need, state)
     round_trip = _DISTANCE_SECONDS_BY_NEARNESS[state.nearness]
     if need.work_seconds:
         others = max(state.in_flight, state.reported)
@@ -143,9 +179,89 @@
         max(state.in_flight, state.reported),
         state.cached_tokens,
         state.load_age,
+        uncertain_tokens=state.uncertain_tokens,
+        is_preferred=state.is_preferred,
+    )
+
+
+def _modelled_estimate(need, state):
+    """Return the `Estimate` of an upstream whose speed has been learnt."""
+    speed, busy = state.speed, max(state.in_flight, state.reported)
+    uncached = max(0.0, need.prompt_tokens - state.cached_tokens)
+    if state.is_preferred:
+        uncached -= min(uncached, speed.hit_rate * state.uncertain_tokens)
+    queued = max(state.backlog_tokens, state.reported_waiting * speed.mean_read_tokens)
+    token_seconds = None
+    if speed.token_seconds is not None:
+        token_seconds = speed.token_seconds + busy * speed.token_seconds_per_request
+    wait = max(queued * speed.read_seconds, _unseen_wait(state))
+    work = speed.first_seconds + uncached * speed.read_seconds + wait
+    excess = max(0, busy + 1 - state.slots)
+    # Each place that becomes free takes one of those who wait for it.
+    work *= 1 + excess / max(1, state.slots)
+    seconds = _DISTANCE_SECONDS_BY_NEARNESS[state.nearness] + work * state.slowness
+    return Estimate(
+        state.host_id,
+        seconds,
+        seconds + _DISTANCE_COST_SECONDS_BY_NEARNESS[state.nearness],
+        busy,
+        state.cached_tokens,
+        state.load_age,
+        token_seconds=token_seconds,
+        is_modelled=True,
+        queued_tokens=queued,
+        uncertain_tokens=state.uncertain_tokens,
+        is_preferred=state.is_preferred,
     )
 
 
+def _unseen_wait(state):
+    """Return the expected wait at an upstream whose last report has become old."""
+    if state.speed is None:
+        return 0.0
+    age = math.inf if state.load_age is None else max(0.0, state.load_age)
+    return state.speed.wait_seconds * (1 - math.exp(-age / _REPORT_DECAY_SECONDS))
+
+
+def draw(states_by_nearness, preferred, slowness, random_source):
+    """Return the upstreams to compare: the preferred ones and a few others.
+
+    The others are drawn in proportion to their speed.
+
+    Entry hosts with the same view that compared all of them would all choose the same
+    one, and overload it until they learn of each other's requests.
+
+    Parameters
+    ----------
+    states_by_nearness : dict of int to list
+        Upstreams of any type.
+    preferred : list
+        Those to be compared in any case.
+    slowness : callable
+        Returns how long work takes at an upstream relative to others.
+    random_source : random.Random
+
+    Returns
+    -------
+    list
+    """
+    drawn = list(preferred)
+    for nearness, count in _DRAWN_COUNT_BY_NEARNESS.items():
+        others = states_by_nearness.get(nearness, ())
+        left = count
+        for state in random_source.sample(others, min(3 * count, len(others))):
+            if not left:
+                break
+            if random_source.random() * slowness(state) > _MIN_SLOWNESS:
+                continue
+            left -= 1
+            if state not in preferred:
+                drawn.append(state)
+    if not drawn:
+        drawn = [random_source.choice(others) for others in states_by_nearness.values()]
+    return drawn
+
+
 def choose(need, states, random_source):
     """Return the `Estimate` of the best upstream, or None without any.
 
@@ -163,7 +279,11 @@
     for state in states:
         found = estimate(need, state)
         rank = found.cost * random_source.uniform(1.0, 1.08)
-        if state.host_id == preferred:
+        if found.is_modelled:
+            # What is not seen is drawn, so that not all requests go to the same one.
+            unseen = _unseen_wait(state)
+            rank += unseen * (random_source.expovariate(1.0) - 1.0)
+        if state.host_id == preferred and not found.is_modelled:
             rank -= (
                 _AFFINITY_HIT_PROBABILITY * need.prompt_parts[-1][1] / TOKENS_PER_SECOND
             )
--- a/src/peridothitch/ports/forwarding.py
+++ b/src/peridothitch/ports/forwarding.py
@@ -262,11 +262,15 @@
     ----------
     running, waiting, slots : int
         Requests in progress, requests queued, and how many can be in progress.
+    pace : float or None
+        How long work takes there at this moment, relative to what is usual there;
+        larger is slower. None if it was not told.
     """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -284,6 +288,8 @@
     host_id : str
         Id of the upstream; empty if not declared.
     load : Load or None
+    has_bad_load : bool
+        Whether it tells a load that can't be read or is absurd.
     request_limit : float
         Requests a second that the upstream takes from all entry hosts together;
         infinite if it names no limit, NaN if what it names is no such number.
@@ -298,6 +304,7 @@
     not_executed: bool = False
     host_id: str = ""
     load: Load | None = None
+    has_bad_load: bool = False
     request_limit: float = math.inf
     leaving: bool = False
     retry_after: datetime.timedelta | None = None
