Orders: divide the work by the mean speed of a service's upstreams; docs

The lower quantile of answers of a service with several speeds is that of its fast upstreams, so orders would count slow ones like fast ones.

--- a/features/steps/upstream_model_steps.py
+++ b/features/steps/upstream_model_steps.py
@@ -317,6 +317,15 @@
     assert least <= context.busy <= most, context.busy
 
 
+@behave.then(
+    "a prompt of 3,000 tokens occupies an average upstream for {least:d} to {most:d} ms"
+)
+def check_mean_work(context, least, most):
+    models = context.fleet.hosts[3].models
+    found = models.busy_seconds(speed_fleet.SERVICE, 3000, 0)
+    assert least <= found * 1000 <= most, (found, models.shared_speeds())
+
+
 @behave.then(
     "the utilization that is aimed at grows with the target and falls with the work"
 )
--- a/features/upstream_model.feature
+++ b/features/upstream_model.feature
@@ -88,5 +88,10 @@
     When a service reads 30,000 tokens a second and requests bring 300,000
     Then its entry hosts report 8 to 16 busy upstreams
 
+  Scenario: Orders count slow upstreams like fast ones
+    Given 84 entry hosts and 45 upstreams with the speeds 0.6, 1 and 1.6
+    When they get 150 requests a second for 12 s
+    Then a prompt of 3,000 tokens occupies an average upstream for 60 to 130 ms
+
   Scenario: Hosts are as full for urgent targets as for patient ones
     Then the utilization that is aimed at grows with the target and falls with the work
--- a/src/peridothitch/gateway/forwarding/fleet_messages.py
+++ b/src/peridothitch/gateway/forwarding/fleet_messages.py
@@ -45,6 +45,7 @@
     reads: Line | None
     tokens: Line | None
     wait_seconds: float
+    mean_speed: float
     deviation_by_host: dict[str, float]
 
 
--- a/src/peridothitch/gateway/forwarding/upstream_models.py
+++ b/src/peridothitch/gateway/forwarding/upstream_models.py
@@ -164,6 +164,7 @@
                 _to_line(shared.reads, now),
                 _to_line(shared.tokens, now),
                 round(shared.wait_seconds, 4),
+                round(shared.mean_speed, 3),
                 shared.deviation_by_host,
             )
             for service, shared in shared_by_service.items()
@@ -179,6 +180,7 @@
                     reads=_to_fit(speed.reads, now),
                     tokens=_to_fit(speed.tokens, now),
                     wait_seconds=speed.wait_seconds,
+                    mean_speed=speed.mean_speed,
                     deviation_by_host=speed.deviation_by_host,
                 )
                 model.apply_shared(shared, now)
--- a/src/peridothitch/policy/upstream_model.py
+++ b/src/peridothitch/policy/upstream_model.py
@@ -61,6 +61,7 @@
 _SHARED_AGE_SECONDS = 6.0
 """Age up to which what all hosts have learnt together goes before the own."""
 
+_MEAN_SPEED_RANGE = 0.5, 2.0
 _MAX_SHARED_DEVIATIONS = 64
 _MIN_SHARED_DEVIATION = 0.1
 """Deviations of more upstreams, and smaller ones, are not told to other hosts."""
@@ -231,11 +232,13 @@
             key[0]: round(known.logarithm(now), 2)
             for key, known in self._deviation_by_key.items()
         }
+        speeds = [math.exp(-logarithm) for logarithm in deviations.values()]
         largest = sorted(deviations, key=lambda host_id: -abs(deviations[host_id]))
         return upstream_speeds.SharedSpeed(
             reads=self.reads(now),
             tokens=self._tokens.fit(now),
             wait_seconds=self._wait,
+            mean_speed=sum(speeds) / len(speeds) if speeds else 1.0,
             deviation_by_host={
                 host_id: deviations[host_id]
                 for host_id in largest[:_MAX_SHARED_DEVIATIONS]
@@ -330,9 +333,10 @@
         )
 
     def busy_seconds(self, prompt_tokens, output_tokens, slots, now):
-        """Return the time for which a request occupies an upstream, None if unknown.
+        """Return the time for which a request occupies an average upstream.
 
-        The share of an output token is that of a step with all places taken.
+        None if it is unknown. The share of an output token is that of a step with all
+        places taken.
         """
         fit, pace = self.reads(now), self._tokens_fit(now)
         if fit is None:
@@ -341,7 +345,11 @@
         if pace is not None:
             step_share = pace.slope + pace.intercept / max(1, slots)
         reading = prompt_tokens * self._read_share * fit.slope
-        return reading + output_tokens * step_share
+        shared = self._fresh_shared(now)
+        mean_speed = 1.0 if shared is None else shared.mean_speed
+        low, high = _MEAN_SPEED_RANGE
+        mean_speed = min(high, max(low, mean_speed))
+        return (reading + output_tokens * step_share) / mean_speed
 
     def residual_seconds(self):
         """Return the mean rest of the work that an arrival finds in progress."""
--- a/src/peridothitch/policy/upstream_speeds.py
+++ b/src/peridothitch/policy/upstream_speeds.py
@@ -92,6 +92,8 @@
         Seconds to the first piece by tokens, and per output token by requests.
     wait_seconds : float
         Mean time that requests have waited lately.
+    mean_speed : float
+        Mean speed of the service's upstreams relative to the lines.
     deviation_by_host : dict of str to float
         Natural logarithm of the time that work takes relative to the service, of the
         upstreams that differ most.
@@ -100,4 +102,5 @@
     reads: object
     tokens: object
     wait_seconds: float = 0.0
+    mean_speed: float = 1.0
     deviation_by_host: dict = dataclasses.field(default_factory=dict)
