--- a/features/steps/upstream_model_steps.py
+++ b/features/steps/upstream_model_steps.py
@@ -297,6 +297,7 @@
         }
     )
     clock.advance(fleet.clock.monotonic())
+    models.update([chosen.host for chosen in fleet.upstreams])
     models.record_load(
         fleet.upstreams[0].host, fleet.upstreams[0].load(fleet.now, True)
     )
--- a/src/peridothitch/policy/upstream_model.py
+++ b/src/peridothitch/policy/upstream_model.py
@@ -38,10 +38,9 @@
 
 _MIN_RATE_RATIO = 2.0
 _MIN_SPAN = 2.5
-_MIN_SHARED_WEIGHT = 24
-_MIN_DEVIATING_COUNT = 2
-"""A rate differs from the assumed one if so many fits in turn, each based on so many
-answers to prompts of such different sizes, show such a ratio."""
+_MIN_SHARED_WEIGHT = 48
+"""A rate differs from the assumed one if a line that is based on so many answers to
+prompts of such different sizes shows such a ratio."""
 
 _MAX_QUEUED_SHARE = 0.2
 """Tokens that are known to be read first, above which an answer shows no speed."""
@@ -126,7 +125,6 @@
         self._read_share = 1.0
         self._mean_read_tokens = 0.0
         self._work = self._squared_work = self._wait = 0.0
-        self._deviating_count = 0
         self.is_modelled = False
 
     def retain(self, keys):
@@ -249,25 +247,24 @@
     def apply_shared(self, shared, now):
         """Use a `upstream_speeds.SharedSpeed` until it is old."""
         self._shared, self._shared_at = shared, now
-        is_deviating = shared.reads is not None and _deviates(shared.reads)
-        self._deviating_count = self._deviating_count + 1 if is_deviating else 0
-        if self._deviating_count >= _MIN_DEVIATING_COUNT:
+        if shared.reads is not None and _deviates(shared.reads):
             self.is_modelled = True
 
     def _fresh_shared(self, now):
         return self._shared if now - self._shared_at <= _SHARED_AGE_SECONDS else None
 
     def _reads_fit(self, now):
-        shared = self._fresh_shared(now)
-        if shared is not None and shared.reads is not None:
-            return shared.reads
-        return self._reads.fit(now)
+        return self._newer(self._reads.fit(now), "reads", now)
 
     def _tokens_fit(self, now):
-        shared = self._fresh_shared(now)
-        if shared is not None and shared.tokens is not None:
-            return shared.tokens
-        return self._tokens.fit(now)
+        return self._newer(self._tokens.fit(now), "tokens", now)
+
+    def _newer(self, own, name, now):
+        """Return the shared line while it is fresh or the host has no own one."""
+        shared = None if self._shared is None else getattr(self._shared, name)
+        if own is None or (shared is not None and self._fresh_shared(now) is not None):
+            return shared
+        return own
 
     @staticmethod
     def _was_cached(fit, piece, seconds):
