--- a/src/peridothitch/gateway/forwarding/capacity_duty.py
+++ b/src/peridothitch/gateway/forwarding/capacity_duty.py
@@ -47,6 +47,7 @@
         Returns whether a `peridothitch.ports.upstream.Host` limits its requests.
     evacuated : callable
         Returns the names of the data centres whose hosts are no capacity now.
+    models : peridothitch.gateway.forwarding.upstream_models.UpstreamModels or None
     """
 
     def __init__(
@@ -62,8 +63,10 @@
         metrics,
         is_limited,
         evacuated=frozenset,
+        models=None,
     ):
         self._client = client
+        self._models = models
         self._is_limited = is_limited
         self._evacuated = evacuated
         self._lease = fenced_lease
@@ -136,7 +139,13 @@
         if not data_centres:
             return
         supply = self._supply(service.name)
-        wanted = capacity_plan.plan(busy, service.scaling, data_centres, supply)
+        wanted = capacity_plan.plan(
+            busy,
+            service.scaling,
+            data_centres,
+            supply,
+            **self._utilization(service.name),
+        )
         orders = [
             order
             for data_centre in data_centres
@@ -157,6 +166,22 @@
                 checked_at = self._clock.monotonic()
             self._order(order, present, busy)
 
+    def _utilization(self, service):
+        """Return the argument of a plan for a service whose speed is known."""
+        waits = self._models.waits(service) if self._models is not None else None
+        if waits is None:
+            return {}
+        objectives = [
+            route.latency_objective.total_seconds()
+            for route in self._catalogue.table.routes
+            if any(share.service == service for share in route.shares)
+        ]
+        if not objectives:
+            return {}
+        utilization = capacity_plan.target_utilization(min(objectives), *waits)
+        self._metrics.set("target_utilization", utilization, service=service)
+        return {"target_utilization": utilization}
+
     def _is_due(self, order, present):
         now = self._clock.monotonic()
         count, due = self._due_by_order.get(_order_key(order), (None, now))
--- a/src/peridothitch/gateway/forwarding/upstream_pool.py
+++ b/src/peridothitch/gateway/forwarding/upstream_pool.py
@@ -2,51 +2,37 @@
 
 import dataclasses
 import datetime
-import math
 import random
 import threading
 
 import logbook
 
 from peridothitch import errors
-from peridothitch.gateway.forwarding import full_upstreams, upstream_notices
-from peridothitch.policy import homes, placement, prompt_cache, upstream_cooldown
+from peridothitch.gateway.forwarding import (
+    full_upstreams,
+    modelled_choice,
+    upstream_entries,
+    upstream_notices,
+)
+from peridothitch.policy import (
+    homes,
+    placement,
+    prompt_cache,
+    upstream_cooldown,
+)
 from peridothitch.ports import upstream
 
 __all__ = ["UpstreamPool"]
 
-_MAX_REPORT_AGE_SECONDS = 1.5
-"""Age beyond which a load report is ignored."""
-
-_SLOWNESS_HALF_LIFE_SECONDS = 2.0
-_SLOWNESS_WEIGHT = 0.3
-_MAX_SLOWNESS = 8.0
 _WORK_WEIGHT = 0.05
 _INITIAL_WORK_SECONDS = 0.025
 """Work per request of a service without prompts until it has been measured."""
 
 _FAILURE_WEIGHT = 0.15
-_FAILURE_SLOWNESS = 3.0
-"""Slowness added for an upstream that fails all its requests."""
 
 _log = logbook.Logger(__name__)
 
 
-@dataclasses.dataclass
-class _Entry:
-    host: upstream.Host
-    nearness: int
-    cache: prompt_cache.PromptCacheEstimate
-    in_flight: int = 0
-    backlog_tokens: float = 0.0
-    load: object = None
-    load_at: float = -math.inf
-    slowness: float = 1.0
-    slowness_at: float = 0.0
-    failure_rate: float = 0.0
-    cooldown: upstream_cooldown.Cooldown = upstream_cooldown.Cooldown()
-
-
 class UpstreamPool:
     """The upstreams, with load, cache and health as observed by this entry host.
 
@@ -58,16 +44,27 @@
     limits : peridothitch.gateway.forwarding.upstream_limits.UpstreamLimits
     evacuations : peridothitch.gateway.forwarding.evacuations.Evacuations
     cold : peridothitch.gateway.forwarding.cold_upstreams.ColdUpstreams
+    models : peridothitch.gateway.forwarding.upstream_models.UpstreamModels
     random_source : random.Random or None
 
     Attributes
     ----------
     revision : int
         Store revision up to which changes of the hosts are applied.
+    models : peridothitch.gateway.forwarding.upstream_models.UpstreamModels
+        What has been learnt of their speed.
     """
 
     def __init__(
-        self, settings, clock, metrics, limits, evacuations, cold, random_source=None
+        self,
+        settings,
+        clock,
+        metrics,
+        limits,
+        evacuations,
+        cold,
+        models,
+        random_source=None,
     ):
         self._settings = settings
         self._clock = clock
@@ -76,11 +73,13 @@
         self._evacuations = evacuations
         self._cold = cold
         self._random = random_source or random.Random()
+        self._modelled = modelled_choice.ModelledChoice(models, self._random)
         self._notices = upstream_notices.UpstreamNotices(clock, metrics)
         self._full = full_upstreams.FullUpstreams(clock)
         self._lock = threading.Lock()
         self._entry_by_id = {}
         self._work_seconds_by_service = {}
+        self.models = models
         self.revision = 0
 
     def update(self, host_by_id, revision=0):
@@ -98,12 +97,13 @@
             for host_id, host in host_by_id.items():
                 entry = self._entry_by_id.get(host_id)
                 if entry is None or entry.host.incarnation != host.incarnation:
-                    entry = _Entry(
+                    entry = upstream_entries.Entry(
                         host, self._nearness(host), prompt_cache.PromptCacheEstimate()
                     )
                 entry.host = host
                 entry_by_id[host_id] = entry
             self._entry_by_id = entry_by_id
+        self.models.update(host_by_id.values())
 
     def _nearness(self, host):
         if host.data_centre == self._settings.data_centre:
@@ -150,13 +150,24 @@
             if not need.prompt_tokens:
                 work = self._work_seconds_by_service.get(service, _INITIAL_WORK_SECONDS)
                 need = dataclasses.replace(need, work_seconds=work)
-            states = [self._state(entry, need, seconds) for entry in available]
+            if self.models.is_modelled(service):
+                live_ids = [e.host.host_id for e in self._live_entries(service)]
+                states = self._modelled.states(available, live_ids, need, seconds)
+            else:
+                states = [
+                    upstream_entries.make_state(entry, need, seconds)
+                    for entry in available
+                ]
             estimate = placement.choose(need, states, self._random)
             chosen = self._entry_by_id[estimate.host_id].host
             self._limits.spend(chosen)
             self._cold.spend(chosen)
             return chosen, estimate
 
+    def is_modelled(self, service):
+        """Return whether the speed of a service's upstreams is learnt from answers."""
+        return self.models.is_modelled(service)
+
     def _live_entries(self, service, allowed_regions=None):
         return [
             entry
@@ -188,31 +199,6 @@
                 return errors.Code.UPSTREAMS_LIMITED
         return None
 
-    def _state(self, entry, need, now):
-        reported = waiting = 0
-        load_age = now - entry.load_at if entry.load is not None else None
-        if entry.load is not None and now - entry.load_at < _MAX_REPORT_AGE_SECONDS:
-            reported = entry.load.running + entry.load.waiting
-            waiting = entry.load.waiting
-        return placement.UpstreamState(
-            host_id=entry.host.host_id,
-            nearness=entry.nearness,
-            slots=entry.host.slots,
-            in_flight=entry.in_flight,
-            reported=reported,
-            reported_waiting=waiting,
-            backlog_tokens=entry.backlog_tokens,
-            load_age=load_age,
-            cached_tokens=entry.cache.cached_tokens(need.prompt_parts, now),
-            slowness=self._slowness(entry, now)
-            + _FAILURE_SLOWNESS * entry.failure_rate,
-        )
-
-    def _slowness(self, entry, now):
-        age = max(0.0, now - entry.slowness_at)
-        decay = 0.5 ** (age / _SLOWNESS_HALF_LIFE_SECONDS)
-        return 1.0 + (entry.slowness - 1.0) * decay
-
     def is_live(self, host):
         """Return whether an upstream still accepts requests."""
         with self._lock:
@@ -259,6 +245,9 @@
             cached = entry.cache.cached_tokens(need.prompt_parts, now)
             entry.cache.record_sent(need.prompt_parts, now)
             uncached_tokens = max(0.0, need.prompt_tokens - cached)
+            self._modelled.record_sent(
+                host.service, need.prompt_parts, uncached_tokens, now
+            )
             entry.in_flight += 1
             entry.backlog_tokens += uncached_tokens
             return uncached_tokens
@@ -272,12 +261,7 @@
                 return
             entry.backlog_tokens = max(0.0, entry.backlog_tokens - uncached_tokens)
             entry.cooldown = upstream_cooldown.Cooldown()
-            ratio = min(_MAX_SLOWNESS, seconds / max(expected_seconds, 0.001))
-            # The estimate already includes the slowness so far.
-            current = self._slowness(entry, now)
-            target = min(_MAX_SLOWNESS, max(1.0, current * ratio))
-            entry.slowness = current + _SLOWNESS_WEIGHT * (target - current)
-            entry.slowness_at = now
+            entry.record_answer_time(expected_seconds, seconds, now)
 
     def record_work(self, service, seconds):
         """Record how long a service without prompts worked on a request."""
@@ -295,6 +279,7 @@
             if entry is not None:
                 entry.load = load
                 entry.load_at = now
+        self.models.record_load(host, load)
 
     def record_result(self, host, failed):
         """Record whether an answer that was read was a failure."""
