Cold upstreams: shares fill up from the moment an upstream is known as cold

Cause: a share began with the first look at the upstream, so an owner without traffic of its own had nothing to lend. Measured: features/cold_upstreams.feature 33 passed.

--- a/src/peridothitch/gateway/forwarding/cold_upstreams.py
+++ b/src/peridothitch/gateway/forwarding/cold_upstreams.py
@@ -102,6 +102,9 @@
                     self._tell(host, now + min(host.cold_time, _MAX_COLD_TIME))
             self._has_hosts = self._has_hosts or bool(host_by_id)
             self._forget_former(host_by_id)
+        # Shares begin to fill when an upstream turns cold, not with the first request.
+        for host in host_by_id.values():
+            self.is_cold(host)
 
     def _forget_former(self, host_by_id):
         excess = len(self._known_by_key) - len(host_by_id) - _MAX_FORMER
