--- a/features/speed_fleet.py
+++ b/features/speed_fleet.py
@@ -93,7 +93,7 @@
     def _make_host(self, number, host_by_id):
         told = metrics.Metrics()
         models = upstream_models.UpstreamModels(self.clock, told)
-        limits = types.SimpleNamespace(may_send=lambda _: True, spend=lambda _: None)
+        limits = types.SimpleNamespace(may_send=lambda *_: True, spend=lambda _: None)
         evacuations = types.SimpleNamespace(covers=lambda _: False)
         name = f"dc{number % 2}-{number % 4}"
         settings = types.SimpleNamespace(data_centre=name, region=name[:3])
