Bound what calls of other entry hosts hold together

20 threads and a queue of 256 calls could hold 4 MB each. 16 MB together from now on, the connections of further calls are closed. features/peer_frames.feature: on the former code all 60 calls of 1 MB are kept and the scenario fails, now it passes (one run each).

--- a/src/peridothitch/adapters/thrift_server.py
+++ b/src/peridothitch/adapters/thrift_server.py
@@ -21,6 +21,7 @@
 from thrift.transport import TTransport
 
 from peridothitch import errors
+from peridothitch.policy import held_bytes
 
 __all__ = ["MAX_FRAME_BYTES", "ThriftServer"]
 
@@ -34,6 +35,10 @@
 _GOSSIP_THREADS = 4
 _CALL_THREADS = 16
 _MAX_QUEUED_CALLS = 256
+_FRAME_MEMORY_BYTES = 16 << 20
+"""Frames that are received or wait for a thread together; peers send 32 KB usually."""
+
+_FRAMES = "frames"
 _GOSSIP_METHOD = "gossip"
 _PROTOCOL = TBinaryProtocol.TBinaryProtocolAcceleratedFactory()
 
@@ -57,13 +62,13 @@
             return
         self.sock = self.context.wrap_socket(self.sock, server_side=True)
 
-    def read_frame(self):
-        (size,) = _HEADER.unpack(self._read_exactly(_HEADER.size))
+    def read_size(self):
+        (size,) = _HEADER.unpack(self.read_exactly(_HEADER.size))
         if size > MAX_FRAME_BYTES:
             raise OSError(f"frame of {size} bytes is too large")
-        return self._read_exactly(size)
+        return size
 
-    def _read_exactly(self, size):
+    def read_exactly(self, size):
         received = bytearray()
         while len(received) < size:
             chunk = self.sock.recv(min(size - len(received), 1 << 16))
@@ -113,6 +118,7 @@
         self._wake_reader.setblocking(False)
         self._released_connections = queue.SimpleQueue()
         self._stop = threading.Event()
+        self._frames = held_bytes.HeldBytes(_FRAME_MEMORY_BYTES, group_share=1.0)
         self._gossip_pool = concurrent.futures.ThreadPoolExecutor(
             _GOSSIP_THREADS, thread_name_prefix="peer-gossip"
         )
@@ -199,15 +205,34 @@
     def _serve(self, connection):
         try:
             connection.start_tls()
-            frame = connection.read_frame()
+            size = connection.read_size()
+        except OSError:
+            connection.close()
+            return
+        if not self._frames.add(_FRAMES, size):
+            connection.close()
+            return
+        is_queued = False
+        try:
+            frame = connection.read_exactly(size)
             if _read_method(frame) == _GOSSIP_METHOD:
                 self._process(connection, frame)
             elif self._call_pool._work_queue.qsize() < _MAX_QUEUED_CALLS:
-                self._call_pool.submit(self._process, connection, frame)
+                self._call_pool.submit(self._process_queued, connection, frame)
+                is_queued = True
             else:
                 connection.close()
         except (OSError, EOFError, Thrift.TException, RuntimeError):
             connection.close()
+        finally:
+            if not is_queued:
+                self._frames.remove(_FRAMES, size)
+
+    def _process_queued(self, connection, frame):
+        try:
+            self._process(connection, frame)
+        finally:
+            self._frames.remove(_FRAMES, len(frame))
 
     def _process(self, connection, frame):
         reply = TTransport.TMemoryBuffer()
