--- a/src/peridothitch/gateway/forwarding/room_keeper.py
+++ b/src/peridothitch/gateway/forwarding/room_keeper.py
@@ -77,10 +77,15 @@
         raise self._refusal(decision, prospect)
 
     def _look(self, ticket, chosen, now):
-        """Return the first upstream with room, its decision and prospect."""
+        """Return the first upstream with room, its decision and prospect.
+
+        Others are asked for only where a request would not be admitted: requests that
+        all took the best of many upstreams would overload it.
+        """
         decision, prospect = self._account.judge(ticket, *chosen, now)
         for _ in range(_MAX_LOOKS - 1):
-            if decision.reason not in room.UPSTREAM_REASONS:
+            is_admitted = decision.verdict is room.Verdict.ADMIT
+            if is_admitted or decision.reason not in room.UPSTREAM_REASONS:
                 break
             other = self._choose(ticket.job)
             if other is None:
--- a/src/peridothitch/policy/request_kinds.py
+++ b/src/peridothitch/policy/request_kinds.py
@@ -10,7 +10,7 @@
 
 __all__ = ["RequestKind", "RequestSize"]
 
-_ERROR_STEP = 0.05
+_ERROR_STEP = 0.1
 _MIN_ERROR, _MAX_ERROR = 0.3, 4.0
 """Bounds on the learnt ratio of actual to expected times."""
 
