--- a/features/room.feature
+++ b/features/room.feature
@@ -53,6 +53,10 @@
   Scenario: A caller that repeats at once gains nothing
     Then only callers that waited after a refusal count as having returned
 
+  Scenario: Admitted requests all take the best of many upstreams
+    When a request is late at the first upstream chosen and there is room to spare
+    Then it is admitted there
+
   Scenario: A waiting request leaves at once when its caller does
     Given an upstream that has no room for a while
     When the caller of a waiting request leaves
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -215,6 +215,34 @@
         self.is_waiting.set()
 
 
+@behave.when(
+    "a request is late at the first upstream chosen and there is room to spare"
+)
+def ask_once(context):
+    context.asked_again = 0
+
+    def choose(job):
+        context.asked_again += 1
+        return _chosen(context)
+
+    context.clock = boot_clock.BootClock()
+    context.seconds = 2.1
+    context.host = room_service.Upstream("u0")
+    context.keeper = room_keeper.RoomKeeper(
+        room_account.RoomAccount(), choose, lambda: 1, context.clock, metrics.Metrics()
+    )
+    # A first request tells nothing of the strain but its own.
+    for _ in range(20):
+        _admit(context, _job(context, "chat", target=9.0), _Writer())
+    context.found = _admit(context, _job(context, "chat"), _Writer())
+
+
+@behave.then("it is admitted there")
+def check_admitted_there(context):
+    assert context.found == "admitted", context.found
+    assert context.asked_again == 0
+
+
 @behave.given("an upstream that has no room for a while")
 def make_keeper(context):
     context.clock = boot_clock.BootClock()
