--- a/src/peridothitch/gateway/forwarding/upstream_models.py
+++ b/src/peridothitch/gateway/forwarding/upstream_models.py
@@ -37,6 +37,7 @@
         self._model_by_service = {}
         self._fleet_model_by_service = {}
         self._slots_by_service = {}
+        self._modelled_services = set()
         self._publish_at = 0.0
 
     def update(self, hosts):
@@ -63,6 +64,14 @@
         with self._lock:
             model = self._model(host.service)
             model.record_pace(_key(host), load.pace, self._now())
+            self._log_if_modelled(host.service, model, self._now())
+
+    def _log_if_modelled(self, service, model, now):
+        """Log once that what was learnt of a service decides about its requests."""
+        if model.is_modelled and service not in self._modelled_services:
+            self._modelled_services.add(service)
+            self._metrics.set("modelled_services", len(self._modelled_services))
+            _log.info("service is modelled", service=service, **model.summary(now))
 
     def _model(self, service):
         model = self._model_by_service.get(service)
@@ -184,6 +193,7 @@
                     deviation_by_host=speed.deviation_by_host,
                 )
                 model.apply_shared(shared, now)
+                self._log_if_modelled(service, model, now)
 
     def speed(self, host):
         """Return the `upstream_speeds.Speed` of a host, None if it isn't known."""
