--- a/src/peridothitch/gateway/forwarding/room_account.py
+++ b/src/peridothitch/gateway/forwarding/room_account.py
@@ -77,7 +77,7 @@
             prospect = self._prospect(ticket, host, estimate, now)
             service = self._pressure_by_service[job.service]
             pressure = room.Pressure(
-                strain=service.strain(_seconds(now)),
+                strain=service.strain(job.priority, _seconds(now)),
                 yield_share=service.yield_share(job.priority, _seconds(now)),
                 excess_share=service.excess_share(job.customer_name, _seconds(now)),
             )
@@ -106,11 +106,13 @@
         job = ticket.job
         is_admitted = decision.verdict is room.Verdict.ADMIT
         with self._lock:
+            service = self._pressure_by_service[job.service]
             if is_admitted:
                 kind = self._kind_by_route[job.route.name]
                 kind.record_admitted(ticket.is_large, _seconds(now))
-            if decision.reason in room.UPSTREAM_REASONS:
-                self._record_late(job, ticket.work, now)
+                service.record_admitted(job.priority, ticket.work, _seconds(now))
+            elif decision.reason in room.UPSTREAM_REASONS:
+                service.record_refused(job.priority, ticket.work, _seconds(now))
 
     def use_of(self, job, now):
         """Return the customer's recent use of a service, over its entitlement."""
@@ -142,7 +144,7 @@
         with self._lock:
             kind = self._kind_by_route[job.route.name]
             kind.record_start(estimate.seconds, seconds, target)
-            if _seconds(now - job.request.arrived) > target >= estimate.seconds:
+            if _seconds(now - job.request.arrived) > target:
                 self._record_late(job, _size(job, estimate).work, now)
 
     def record_stream(self, job, estimate, seconds):
--- a/src/peridothitch/gateway/forwarding/room_keeper.py
+++ b/src/peridothitch/gateway/forwarding/room_keeper.py
@@ -91,7 +91,8 @@
             if other is None:
                 break
             found, other_prospect = self._account.judge(ticket, *other, now)
-            if other_prospect.start < prospect.start:
+            has_room = found.verdict is room.Verdict.ADMIT
+            if has_room or other_prospect.start < prospect.start:
                 chosen, decision, prospect = other, found, other_prospect
         return chosen, decision, prospect
 
--- a/src/peridothitch/policy/request_kinds.py
+++ b/src/peridothitch/policy/request_kinds.py
@@ -10,13 +10,13 @@
 
 __all__ = ["RequestKind", "RequestSize"]
 
-_ERROR_STEP = 0.1
-_MIN_ERROR, _MAX_ERROR = 0.3, 4.0
+_ERROR_STEP = 0.2
+_MIN_ERROR, _MAX_ERROR = 0.3, 8.0
 """Bounds on the learnt ratio of actual to expected times."""
 
-_START_QUANTILE = 0.7
+_START_QUANTILE = 0.85
 _MIN_START_SHARE = 0.3
-_STREAM_QUANTILE = 0.7
+_STREAM_QUANTILE = 0.6
 """Share of the requests that take no longer than expected once the error is learnt."""
 
 _LARGE_FACTOR = 1.5
--- a/src/peridothitch/policy/room.py
+++ b/src/peridothitch/policy/room.py
@@ -33,10 +33,10 @@
 _LATE_FACTOR_BY_PRIORITY = (3.0, 2.6, 2.2)
 """Largest multiple of the target at which a late answer is admitted into spare room."""
 
-_MAX_STRAIN = 0.1
+_MAX_STRAIN = 0.05
 """Share of late work up to which lateness is that of single requests or upstreams."""
 
-_MAX_STRAIN_RETURNED = 0.2
+_MAX_STRAIN_RETURNED = 0.1
 """The same for callers that have come again; a second refusal costs them more."""
 
 _MAX_LENGTH_ERROR = 1.5
@@ -127,7 +127,7 @@
     Attributes
     ----------
     strain : float
-        Share of the work asked for that was late or refused for want of room.
+        Share of the admitted work that started late, or not at all.
     yield_share : float
         Share of the requests of this urgency that make room for more urgent ones.
     excess_share : float
@@ -187,7 +187,8 @@
 def _decide_late(prospect, pressure):
     factors = _LATE_FACTOR_BY_PRIORITY
     factor = factors[min(max(prospect.priority, 0), len(factors) - 1)]
-    is_near = prospect.elapsed + prospect.start <= prospect.target * factor
+    expected = prospect.elapsed + prospect.start
+    is_near = expected <= prospect.target * factor
     most = _MAX_STRAIN_RETURNED if prospect.has_returned else _MAX_STRAIN
     if is_near and (pressure.strain <= most or prospect.is_starved):
         return Decision(Verdict.ADMIT, Reason.SPARE_ROOM)
--- a/src/peridothitch/policy/service_pressure.py
+++ b/src/peridothitch/policy/service_pressure.py
@@ -59,6 +59,8 @@
     def __init__(self):
         self._asked = collections.defaultdict(DecayingSum)
         self._late = collections.defaultdict(DecayingSum)
+        self._unmet = collections.defaultdict(DecayingSum)
+        self._admitted = collections.defaultdict(DecayingSum)
         self._use_by_customer = collections.OrderedDict()
 
     def record_arrival(self, priority, work, customer, weight, now):
@@ -87,15 +89,27 @@
         use.add(work, now)
         count.add(1.0, now)
 
+    def record_admitted(self, priority, work, now):
+        """Record that a request was admitted."""
+        self._admitted[priority].add(work, now)
+
     def record_late(self, priority, work, now):
-        """Record that a request was late, or refused for want of room."""
+        """Record that an admitted request started late, or not at all."""
         self._late[priority].add(work, now)
+        self._unmet[priority].add(work, now)
+
+    def record_refused(self, priority, work, now):
+        """Record that a request was refused for want of room."""
+        self._unmet[priority].add(work, now)
 
-    def strain(self, now):
-        """Return the share of the work asked for that was late or refused."""
-        asked = sum(each.value(now) for each in self._asked.values())
-        late = sum(each.value(now) for each in self._late.values())
-        return min(1.0, late / asked) if asked else 0.0
+    def strain(self, priority, now):
+        """Return the share of an urgency's admitted work that was late.
+
+        What was only expected to be late doesn't count: if the expectation is wrong,
+        more is admitted until this shows how much is late indeed.
+        """
+        admitted = self._admitted[priority].value(now)
+        return min(1.0, self._late[priority].value(now) / admitted) if admitted else 0.0
 
     def yield_share(self, priority, now):
         """Return the share of an urgency's requests that make room for more urgent."""
@@ -115,7 +129,7 @@
             max(
                 0.0, late.value(now) - _TOLERATED_LATE_SHARE * self._asked[p].value(now)
             )
-            for p, late in list(self._late.items())
+            for p, late in list(self._unmet.items())
             if p < priority
         )
 
