Exchange of loads between entry hosts: statements, relays, sums

Hosts state their counts to a relay of their data centre, relays exchange sums that name the hosts that they contain, so that no host is counted twice; a host of which another relay's sum may still contain a statement is passed on outside of the sum. A relay that has just become one says so, and hosts keep their former totals meanwhile.

--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -22,6 +22,7 @@
     fleet_reports,
     handler,
     helper_server,
+    load_exchange,
     part_guard,
     part_records,
     path_links,
@@ -161,8 +162,9 @@
             clock,
             self.metrics,
         )
+        self._loads = load_exchange.LoadExchange(peers, clock, self.metrics)
         self._upstreams = upstream_pool.UpstreamPool(
-            settings, clock, self.metrics, self._limits
+            settings, clock, self.metrics, self._limits, exchange=self._loads
         )
         self._paths = path_links.make_paths(
             settings, platform.header_codec, peers, clock, self.metrics
@@ -280,6 +282,7 @@
             self._duty_runner.run_duties,
             self._moves.run,
             self._paths.run,
+            *self._loads.loops,
             self._part_guard.run,
             self._part_guard.run_saves,
             self._tidy,
@@ -331,6 +334,7 @@
         for server in self._status_servers:
             server.close()
         self._quotas.close()
+        self._loads.close()
         self._background.shutdown(wait=False, cancel_futures=True)
         self._fleet.close()
         _log.info("stopped", active=self._handler.active)
--- a/src/peridothitch/gateway/forwarding/upstream_pool.py
+++ b/src/peridothitch/gateway/forwarding/upstream_pool.py
@@ -9,7 +9,13 @@
 import logbook
 
 from peridothitch.gateway.forwarding import upstream_notices
-from peridothitch.policy import placement, prompt_cache, upstream_cooldown
+from peridothitch.policy import (
+    candidates,
+    placement,
+    prompt_cache,
+    shared_loads,
+    upstream_cooldown,
+)
 from peridothitch.ports import upstream
 
 __all__ = ["UpstreamPool"]
@@ -56,6 +62,8 @@
     metrics : peridothitch.adapters.metrics.Metrics
     limits : peridothitch.gateway.forwarding.upstream_limits.UpstreamLimits
     random_source : random.Random or None
+    exchange : peridothitch.gateway.forwarding.load_exchange.LoadExchange or None
+        Tells what the other entry hosts have in progress; is told what this one has.
 
     Attributes
     ----------
@@ -63,17 +71,22 @@
         Store revision up to which changes of the hosts are applied.
     """
 
-    def __init__(self, settings, clock, metrics, limits, random_source=None):
+    def __init__(
+        self, settings, clock, metrics, limits, random_source=None, exchange=None
+    ):
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
         self._limits = limits
         self._random = random_source or random.Random()
+        self._exchange = exchange
         self._notices = upstream_notices.UpstreamNotices(clock, metrics)
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
         self._entry_by_id = {}
         self._work_seconds_by_service = {}
         self.revision = 0
+        if exchange is not None:
+            exchange.set_source(self.uses)
 
     def update(self, host_by_id, revision=0):
         """Replace the upstream hosts.
@@ -137,7 +150,12 @@
             if not need.prompt_tokens:
                 work = self._work_seconds_by_service.get(service, _INITIAL_WORK_SECONDS)
                 need = dataclasses.replace(need, work_seconds=work)
-            states = [self._state(entry, need, seconds) for entry in available]
+            is_shared = self._exchange is not None and self.is_modelled(service)
+            states = [
+                self._state(entry, need, seconds, is_shared) for entry in available
+            ]
+            if is_shared:
+                states = candidates.draw(need, states, self._random)
             estimate = placement.choose(need, states, self._random)
             chosen = self._entry_by_id[estimate.host_id].host
             self._limits.spend(chosen)
@@ -159,21 +177,62 @@
                 for entry in self._live_entries(service)
             )
 
-    def _state(self, entry, need, now):
+    def is_modelled(self, service):
+        """Return whether a live upstream of a service has told its pace."""
+        with self._lock:
+            return any(
+                entry.load is not None and entry.load.pace is not None
+                for entry in self._live_entries(service)
+            )
+
+    def uses(self):
+        """Return what this host has in progress at the upstreams of modelled services.
+
+        Returns
+        -------
+        tuple of dict or None
+            Requests and uncached tokens, and the `shared_loads.SeenLoad`, by
+            `shared_loads.upstream_key`; None while no service is modelled.
+        """
+        with self._lock:
+            entries = list(self._entry_by_id.values())
+            services = {entry.host.service for entry in entries}
+            modelled = {name for name in services if self.is_modelled(name)}
+            if not modelled:
+                return None
+            use_by_upstream, seen_by_upstream = {}, {}
+            for entry in entries:
+                if entry.host.service not in modelled:
+                    continue
+                host = entry.host
+                key = shared_loads.upstream_key(host.host_id, host.incarnation)
+                use_by_upstream[key] = entry.in_flight, entry.backlog_tokens
+                if entry.load is not None:
+                    seen_by_upstream[key] = shared_loads.SeenLoad(
+                        entry.load, entry.load_at
+                    )
+            return use_by_upstream, seen_by_upstream
+
+    def _state(self, entry, need, now, is_shared):
+        use = shared_loads.UpstreamUse()
+        if is_shared:
+            use = self._exchange.use_of(entry.host)
+        load, load_age = entry.load, now - entry.load_at
+        if use.age_seconds < load_age:
+            load, load_age = use.load, use.age_seconds
         reported = waiting = 0
-        load_age = now - entry.load_at if entry.load is not None else None
-        if entry.load is not None and now - entry.load_at < _MAX_REPORT_AGE_SECONDS:
-            reported = entry.load.running + entry.load.waiting
-            waiting = entry.load.waiting
+        if load is not None and load_age < _MAX_REPORT_AGE_SECONDS:
+            reported = load.running + load.waiting
+            waiting = load.waiting
         return placement.UpstreamState(
             host_id=entry.host.host_id,
             nearness=entry.nearness,
             slots=entry.host.slots,
-            in_flight=entry.in_flight,
+            in_flight=entry.in_flight + use.in_flight,
             reported=reported,
             reported_waiting=waiting,
-            backlog_tokens=entry.backlog_tokens,
-            load_age=load_age,
+            backlog_tokens=entry.backlog_tokens + use.backlog_tokens,
+            load_age=load_age if load is not None else None,
             cached_tokens=entry.cache.cached_tokens(need.prompt_parts, now),
             slowness=self._slowness(entry, now)
             + _FAILURE_SLOWNESS * entry.failure_rate,
--- a/src/peridothitch/platform/header_codec.py
+++ b/src/peridothitch/platform/header_codec.py
@@ -179,9 +179,11 @@
 
 def _to_load(text):
     numbers = (text or "").split(",")
-    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
+    if len(numbers) not in (3, 4) or not all(n.strip().isdigit() for n in numbers):
         return None
-    return forwarding.Load(*map(int, numbers))
+    running, waiting, slots, *paces = map(int, numbers)
+    pace = paces[0] / 100 if paces and paces[0] else None
+    return forwarding.Load(running, waiting, slots, pace)
 
 
 def _to_retry_after(text):
--- a/src/peridothitch/policy/placement.py
+++ b/src/peridothitch/policy/placement.py
@@ -17,6 +17,7 @@
     "UpstreamState",
     "choose",
     "estimate",
+    "preferred_host",
 ]
 
 _DISTANCE_SECONDS_BY_NEARNESS = {0: 0.0002, 1: 0.003, 2: 0.042}
@@ -158,7 +159,7 @@
     """
     if not states:
         return None
-    preferred = _preferred(need, states)
+    preferred = preferred_host(need, states)
     best, best_rank = None, None
     for state in states:
         found = estimate(need, state)
@@ -172,7 +173,7 @@
     return best
 
 
-def _preferred(need, states):
+def preferred_host(need, states):
     """Return the host that all nearby entry hosts prefer for a session, or None."""
     if not need.prompt_parts:
         return None
--- a/src/peridothitch/ports/forwarding.py
+++ b/src/peridothitch/ports/forwarding.py
@@ -262,11 +262,14 @@
     ----------
     running, waiting, slots : int
         Requests in progress, requests queued, and how many can be in progress.
+    pace : float or None
+        How long work takes relative to usual; 1.0 is as usual, None if not told.
     """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
