--- a/features/load_exchange.feature
+++ b/features/load_exchange.feature
@@ -76,13 +76,34 @@
   Scenario Outline: Each host chooses by its own sample of the load
     When <hosts> entry hosts send <rate> requests a second to <upstreams> upstreams
     Then with the exchange the busiest upstream has at most <most> times the mean
-    And without it more than with it
+    And without it more than with it, and requests wait twice as long
 
     Examples:
       | hosts | rate | upstreams | most |
-      | 7     | 200  | 20        | 1.6  |
-      | 84    | 600  | 45        | 1.6  |
+      | 7     | 200  | 20        | 1.7  |
+      | 84    | 600  | 45        | 1.8  |
 
   Scenario: Upstreams that tell no pace are chosen otherwise than before
     When 7 entry hosts choose among upstreams that tell no pace
     Then they choose as without the exchange
+
+  Scenario Outline: A load that tells a pace is dropped, or a bad one is used
+    Then the load "<text>" is read as <running>, <waiting>, <slots>, <pace>
+
+    Examples:
+      | text       | running | waiting | slots | pace |
+      | 5,1,8      | 5       | 1       | 8     | None |
+      | 5,1,8,130  | 5       | 1       | 8     | 1.3  |
+      | 5,1,8, 60  | 5       | 1       | 8     | 0.6  |
+      | 5,1,8,0    | 5       | 1       | 8     | None |
+
+  Scenario Outline: A load that can't be read is used
+    Then the load "<text>" is not read
+
+    Examples:
+      | text       |
+      | 5,1,8,-3   |
+      | 5,1,8,nan  |
+      | 5,1        |
+      | 5,1,8,1,1  |
+      | idle       |
--- a/features/load_fleet.py
+++ b/features/load_fleet.py
@@ -182,7 +182,10 @@
 
     @staticmethod
     def _period(host, name):
-        return host.exchange.period_seconds if name == "tell" else 0.25
+        exchange = host.exchange
+        if name == "tell":
+            return exchange.period_seconds
+        return exchange.sum_period_seconds
 
     def run(self, seconds, check=None):
         """Run for some seconds; calls ``check()`` after each step."""
--- a/features/steps/load_exchange_steps.py
+++ b/features/steps/load_exchange_steps.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from peridothitch import errors
+from peridothitch.platform import header_codec
 from peridothitch.policy import shared_loads
 from peridothitch.ports import forwarding
 
@@ -293,10 +294,11 @@
     "{hosts:d} entry hosts send {rate:d} requests a second to {upstreams:d} upstreams"
 )
 def play_spread(context, hosts, rate, upstreams):
-    context.ratio_by_exchange = {
-        is_on: load_spread.LoadSpread(hosts, rate, upstreams, is_on).play()
-        for is_on in (True, False)
-    }
+    context.ratio_by_exchange, context.wait_by_exchange = {}, {}
+    for is_on in (True, False):
+        spread = load_spread.LoadSpread(hosts, rate, upstreams, is_on)
+        context.ratio_by_exchange[is_on] = spread.play()
+        context.wait_by_exchange[is_on] = sum(spread.waits) / len(spread.waits)
 
 
 @behave.then(
@@ -306,10 +308,12 @@
     assert context.ratio_by_exchange[True] <= most, context.ratio_by_exchange
 
 
-@behave.then("without it more than with it")
+@behave.then("without it more than with it, and requests wait twice as long")
 def check_spread_without(context):
     ratio = context.ratio_by_exchange
     assert ratio[False] > ratio[True], ratio
+    wait = context.wait_by_exchange
+    assert wait[False] > 2 * wait[True], wait
 
 
 @behave.when("{hosts:d} entry hosts choose among upstreams that tell no pace")
@@ -323,3 +327,19 @@
 @behave.then("they choose as without the exchange")
 def check_same(context):
     assert context.chosen[0] == context.chosen[1]
+
+
+def _read_load(text):
+    fields = (("Peridothitch-Replica-Load", text),)
+    return header_codec.PlatformHeaderCodec().read_response(fields).load
+
+
+@behave.then('the load "{text}" is read as {running:d}, {waiting:d}, {slots:d}, {pace}')
+def check_load_read(context, text, running, waiting, slots, pace):
+    expected = None if pace == "None" else float(pace)
+    assert _read_load(text) == forwarding.Load(running, waiting, slots, expected)
+
+
+@behave.then('the load "{text}" is not read')
+def check_load_not_read(context, text):
+    assert _read_load(text) is None
--- a/src/peridothitch/gateway/forwarding/load_exchange.py
+++ b/src/peridothitch/gateway/forwarding/load_exchange.py
@@ -26,10 +26,16 @@
 _STATE_METHOD = "forwarding.loads"
 _SUM_METHOD = "forwarding.load_sums"
 _PERIOD_SECONDS = 0.25
-_MAX_PERIOD_SECONDS = 0.5
+_MAX_PERIOD_SECONDS = 1.0
+_MAX_SUM_PERIOD_SECONDS = 0.5
+"""Half the time for which a sum counts, so that one may be lost."""
+
 _BYTES_PER_SECOND = 16_000
 """Bytes of calls and replies beyond which a host calls less often."""
 
+_SUM_BYTES_PER_SECOND = 200_000
+"""The same for a relay's calls to other relays."""
+
 _TIMEOUT = datetime.timedelta(milliseconds=200)
 _FIRST_PAUSE_SECONDS = 0.5
 _MAX_PAUSE_SECONDS = 8.0
@@ -101,6 +107,8 @@
         Run in a thread each until the event that they get is set.
     period_seconds : float
         Time between two statements; grows with the size of the replies.
+    sum_period_seconds : float
+        Time between two rounds of calls to the other relays.
     """
 
     def __init__(self, peers, clock, metrics, executor=None, random_source=None):
@@ -122,6 +130,7 @@
         self._relay = ""
         self._view = None
         self.period_seconds = _PERIOD_SECONDS
+        self.sum_period_seconds = _PERIOD_SECONDS
         self._totals = None
         self._totals_at = -math.inf
         self._called_at_by_relay = {}
@@ -170,7 +179,7 @@
 
     def run_sums(self, stop):
         """Exchange sums with other relays until the event `stop` is set."""
-        while not self._clock.wait(stop, self._next_wait(_PERIOD_SECONDS)):
+        while not self._clock.wait(stop, self._next_wait(self.sum_period_seconds)):
             self.exchange_sums()
 
     def close(self):
@@ -319,23 +328,30 @@
             and (host_id in ranked or shared_loads.host_key(host_id) in heard)
             and not self._pauses.is_paused(host_id, now)
             # Its call has brought its sum and taken this host's one.
-            and now - called_at_by_relay.get(host_id, -math.inf) > 0.8 * _PERIOD_SECONDS
+            and now - called_at_by_relay.get(host_id, -math.inf)
+            > 0.8 * self.sum_period_seconds
         ]
         payload = self._make_sum(now)
-        for _ in self._executor.map(
+        sizes = self._executor.map(
             lambda host_id: self._exchange_sum(host_id, payload), targets
-        ):
-            pass
+        )
+        seconds = sum(sizes) / _SUM_BYTES_PER_SECOND
+        self.sum_period_seconds = min(
+            _MAX_SUM_PERIOD_SECONDS, max(_PERIOD_SECONDS, seconds)
+        )
 
     def _exchange_sum(self, host_id, payload):
+        """Return the number of bytes that were exchanged."""
         reply = self._call(host_id, _SUM_METHOD, payload)
         if reply is None:
-            return
-        self._metrics.count("load_exchange_bytes", len(payload) + len(reply))
+            return 0
+        size = len(payload) + len(reply)
+        self._metrics.count("load_exchange_bytes", size)
         try:
             self._merge(self._decode(reply, load_messages.SumMessage))
         except errors.PeerError as error:
             self._fail(host_id, str(error))
+        return size
 
     def _answer_sum(self, payload):
         message = self._decode(payload, load_messages.SumMessage)
--- a/src/peridothitch/policy/shared_loads.py
+++ b/src/peridothitch/policy/shared_loads.py
@@ -44,7 +44,7 @@
 host's former relay no longer counts.
 """
 
-_SETTLE_SECONDS = 0.6
+_SETTLE_SECONDS = 1.0
 """Time in which all hosts of a data centre and all relays call a new relay."""
 
 _HOSTS_PER_RELAY = 32
