--- a/src/peridothitch/gateway/forwarding/upstream_pool.py
+++ b/src/peridothitch/gateway/forwarding/upstream_pool.py
@@ -34,6 +34,7 @@
 _FAILURE_SLOWNESS = 3.0
 """Slowness added for an upstream that fails all its requests."""
 
+_NO_USE = shared_loads.UpstreamUse()
 _log = logbook.Logger(__name__)
 
 
@@ -150,12 +151,10 @@
             if not need.prompt_tokens:
                 work = self._work_seconds_by_service.get(service, _INITIAL_WORK_SECONDS)
                 need = dataclasses.replace(need, work_seconds=work)
-            is_shared = self._exchange is not None and self.is_modelled(service)
-            states = [
-                self._state(entry, need, seconds, is_shared) for entry in available
-            ]
-            if is_shared:
-                states = candidates.draw(need, states, self._random)
+            states = [self._state(entry, need, seconds) for entry in available]
+            if self._exchange is not None and self.is_modelled(service):
+                drawn = candidates.draw(need, states, self._random)
+                states = [self._shared_state(state, need, seconds) for state in drawn]
             estimate = placement.choose(need, states, self._random)
             chosen = self._entry_by_id[estimate.host_id].host
             self._limits.spend(chosen)
@@ -213,10 +212,12 @@
                     )
             return use_by_upstream, seen_by_upstream
 
-    def _state(self, entry, need, now, is_shared):
-        use = shared_loads.UpstreamUse()
-        if is_shared:
-            use = self._exchange.use_of(entry.host)
+    def _shared_state(self, state, need, now):
+        """Return a state with what all entry hosts have in progress."""
+        entry = self._entry_by_id[state.host_id]
+        return self._state(entry, need, now, self._exchange.use_of(entry.host))
+
+    def _state(self, entry, need, now, use=_NO_USE):
         load, load_age = entry.load, now - entry.load_at
         if use.age_seconds < load_age:
             load, load_age = use.load, use.age_seconds
