--- a/src/peridothitch/gateway/forwarding/load_exchange.py
+++ b/src/peridothitch/gateway/forwarding/load_exchange.py
@@ -184,7 +184,7 @@
 
     def close(self):
         """End the threads of calls to other relays."""
-        self._executor.shutdown(wait=False, cancel_futures=True)
+        self._executor.shutdown(wait=False)
 
     def _next_wait(self, seconds):
         # Hosts that start at the same time should not call at the same time.
