--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -73,8 +73,7 @@
         self._platform = platform
         self._clock = clock
         self._stop = threading.Event()
-        self._stopping = False
-        self._ready = False
+        self._ready = self._stopping = False
         self._runner = None
         self.metrics = metrics.Metrics()
         self._incarnation = secrets.token_hex(_INCARNATION_BYTES)
@@ -94,7 +93,7 @@
             clock,
             self.metrics,
         )
-        peers = self._fleet.peers
+        peers, bounds = self._fleet.peers, settings.bounds
         self._mirrors = store_mirrors.make_mirrors(platform, clock, self.metrics)
         operators, hosts, leases = self._mirrors
         self.catalogue = catalogue.Catalogue(
@@ -106,9 +105,8 @@
         )
         for store_mirror in self._mirrors:
             store_mirror.watch_if(self._sync.should_follow_store)
-        self._usage = usage_counter.UsageCounter(
-            settings.bounds.usage_window, self._shared_clock
-        )
+        shared_clock = self._shared_clock
+        self._usage = usage_counter.UsageCounter(bounds.usage_window, shared_clock)
         self._quotas = quota_limiter.QuotaLimiter(
             settings.bounds, self._count_hosts, peers, clock, self.metrics
         )
@@ -157,7 +155,7 @@
             clock,
             self.metrics,
         )
-        self._upstreams = pool_links.make_pool(
+        self._upstreams, self._loads = pool_links.make_pool(
             settings,
             peers,
             self.catalogue,
@@ -287,6 +285,7 @@
             self._duty_runner.run_duties,
             self._moves.run,
             self._paths.run,
+            *self._loads.loops,
             self._part_guard.run,
             self._part_guard.run_saves,
             self._tidy,
@@ -338,6 +337,7 @@
         for server in self._status_servers:
             server.close()
         self._quotas.close()
+        self._loads.close()
         self._background.shutdown(wait=False, cancel_futures=True)
         self._fleet.close()
         _log.info("stopped", active=self._handler.active)
--- a/src/peridothitch/gateway/forwarding/modelled_choice.py
+++ b/src/peridothitch/gateway/forwarding/modelled_choice.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from peridothitch.gateway.forwarding import upstream_entries
-from peridothitch.policy import part_owners, placement
+from peridothitch.policy import part_owners, placement, shared_loads
 
 __all__ = ["ModelledChoice"]
 
@@ -14,11 +14,14 @@
     Parameters
     ----------
     models : peridothitch.gateway.forwarding.upstream_models.UpstreamModels
+    exchange : peridothitch.gateway.forwarding.load_exchange.LoadExchange or None
+        Tells what the other entry hosts have in progress.
     random_source : random.Random
     """
 
-    def __init__(self, models, random_source):
+    def __init__(self, models, exchange, random_source):
         self._models = models
+        self._exchange = exchange
         self._random = random_source
         self._owners_by_service = {}
 
@@ -56,7 +59,10 @@
         return [self._state(entry, need, now, preferred_ids) for entry in drawn]
 
     def _state(self, entry, need, now, preferred_ids):
-        state = upstream_entries.make_state(entry, need, now)
+        use = shared_loads.UpstreamUse()
+        if self._exchange is not None:
+            use = self._exchange.use_of(entry.host)
+        state = upstream_entries.make_state(entry, need, now, use)
         shared_tokens = sum(tokens for _, tokens in need.prompt_parts[:-1])
         # The speed of a service without prompts is in this factor alone.
         factor = 1.0 if need.prompt_tokens else self._models.factor(entry.host)
