--- a/src/peridothitch/gateway/forwarding/pool_links.py
+++ b/src/peridothitch/gateway/forwarding/pool_links.py
@@ -1,12 +1,16 @@
-"""Construction of an entry host's upstream pool and of what bars upstreams."""
+"""Construction of an entry host's upstream pool and of what it depends on."""
 
-from peridothitch.gateway.forwarding import cold_upstreams, upstream_pool
+from peridothitch.gateway.forwarding import (
+    cold_upstreams,
+    load_exchange,
+    upstream_pool,
+)
 
 __all__ = ["make_pool"]
 
 
 def make_pool(settings, peers, catalogue, limits, models, count_hosts, clock, metrics):
-    """Return the `upstream_pool.UpstreamPool` of an entry host.
+    """Return the pool of an entry host and its exchange of loads.
 
     Parameters
     ----------
@@ -19,8 +23,13 @@
         Returns the number of entry hosts.
     clock : peridothitch.ports.clock.Clock
     metrics : peridothitch.adapters.metrics.Metrics
+
+    Returns
+    -------
+    tuple of (upstream_pool.UpstreamPool, load_exchange.LoadExchange)
     """
-    return upstream_pool.UpstreamPool(
+    exchange = load_exchange.LoadExchange(peers, clock, metrics)
+    pool = upstream_pool.UpstreamPool(
         settings,
         clock,
         metrics,
@@ -28,4 +37,6 @@
         catalogue.evacuations,
         cold_upstreams.ColdUpstreams(peers, count_hosts, catalogue, clock, metrics),
         models,
+        exchange=exchange,
     )
+    return pool, exchange
--- a/src/peridothitch/gateway/forwarding/upstream_entries.py
+++ b/src/peridothitch/gateway/forwarding/upstream_entries.py
@@ -3,11 +3,17 @@
 import dataclasses
 import math
 
-from peridothitch.policy import placement, prompt_cache, upstream_cooldown
+from peridothitch.policy import (
+    placement,
+    prompt_cache,
+    shared_loads,
+    upstream_cooldown,
+)
 from peridothitch.ports import upstream
 
 __all__ = ["Entry", "failure_factor", "make_state"]
 
+_NO_USE = shared_loads.UpstreamUse()
 _MAX_REPORT_AGE_SECONDS = 1.5
 """Age beyond which a load report is ignored."""
 
@@ -69,7 +75,7 @@
     return 1.0 + _FAILURE_SLOWNESS * entry.failure_rate
 
 
-def make_state(entry, need, now):
+def make_state(entry, need, now, use=_NO_USE):
     """Return the `placement.UpstreamState` of an upstream for one request.
 
     Parameters
@@ -77,21 +83,25 @@
     entry : Entry
     need : peridothitch.policy.placement.RequestNeed
     now : float
+    use : peridothitch.policy.shared_loads.UpstreamUse
+        What other entry hosts have in progress there, and the load that they saw.
     """
+    load, load_age = entry.load, now - entry.load_at
+    if use.age_seconds < load_age:
+        load, load_age = use.load, use.age_seconds
     reported = waiting = 0
-    load_age = now - entry.load_at if entry.load is not None else None
-    if entry.load is not None and now - entry.load_at < _MAX_REPORT_AGE_SECONDS:
-        reported = entry.load.running + entry.load.waiting
-        waiting = entry.load.waiting
+    if load is not None and load_age < _MAX_REPORT_AGE_SECONDS:
+        reported = load.running + load.waiting
+        waiting = load.waiting
     return placement.UpstreamState(
         host_id=entry.host.host_id,
         nearness=entry.nearness,
         slots=entry.host.slots,
-        in_flight=entry.in_flight,
+        in_flight=entry.in_flight + use.in_flight,
         reported=reported,
         reported_waiting=waiting,
-        backlog_tokens=entry.backlog_tokens,
-        load_age=load_age,
+        backlog_tokens=entry.backlog_tokens + use.backlog_tokens,
+        load_age=load_age if load is not None else None,
         cached_tokens=entry.cache.cached_tokens(need.prompt_parts, now),
         slowness=entry.current_slowness(now) + failure_factor(entry) - 1.0,
     )
--- a/src/peridothitch/gateway/forwarding/upstream_pool.py
+++ b/src/peridothitch/gateway/forwarding/upstream_pool.py
@@ -18,6 +18,7 @@
     homes,
     placement,
     prompt_cache,
+    shared_loads,
     upstream_cooldown,
 )
 from peridothitch.ports import upstream
@@ -46,6 +47,8 @@
     cold : peridothitch.gateway.forwarding.cold_upstreams.ColdUpstreams
     models : peridothitch.gateway.forwarding.upstream_models.UpstreamModels
     random_source : random.Random or None
+    exchange : peridothitch.gateway.forwarding.load_exchange.LoadExchange or None
+        Tells what the other entry hosts have in progress; is told what this one has.
 
     Attributes
     ----------
@@ -65,6 +68,7 @@
         cold,
         models,
         random_source=None,
+        exchange=None,
     ):
         self._settings = settings
         self._clock = clock
@@ -73,7 +77,7 @@
         self._evacuations = evacuations
         self._cold = cold
         self._random = random_source or random.Random()
-        self._modelled = modelled_choice.ModelledChoice(models, self._random)
+        self._modelled = modelled_choice.ModelledChoice(models, exchange, self._random)
         self._notices = upstream_notices.UpstreamNotices(clock, metrics)
         self._full = full_upstreams.FullUpstreams(clock)
         self._lock = threading.Lock()
@@ -81,6 +85,8 @@
         self._work_seconds_by_service = {}
         self.models = models
         self.revision = 0
+        if exchange is not None:
+            exchange.set_source(self.uses)
 
     def update(self, host_by_id, revision=0):
         """Replace the upstream hosts.
@@ -191,6 +197,34 @@
             and self._limits.may_send(entry.host)
         ]
 
+    def uses(self):
+        """Return what this host has in progress at the upstreams of modelled services.
+
+        Returns
+        -------
+        tuple of dict or None
+            Requests and uncached tokens, and the `shared_loads.SeenLoad`, by
+            `shared_loads.upstream_key`; None while no service is modelled.
+        """
+        with self._lock:
+            entries = list(self._entry_by_id.values())
+            services = {entry.host.service for entry in entries}
+            modelled = {name for name in services if self.is_modelled(name)}
+            if not modelled:
+                return None
+            use_by_upstream, seen_by_upstream = {}, {}
+            for entry in entries:
+                if entry.host.service not in modelled:
+                    continue
+                host = entry.host
+                key = shared_loads.upstream_key(host.host_id, host.incarnation)
+                use_by_upstream[key] = entry.in_flight, entry.backlog_tokens
+                if entry.load is not None:
+                    seen_by_upstream[key] = shared_loads.SeenLoad(
+                        entry.load, entry.load_at
+                    )
+            return use_by_upstream, seen_by_upstream
+
     def _live_entries(self, service, allowed_regions=None):
         return [
             entry
