--- a/features/load_exchange.feature
+++ b/features/load_exchange.feature
@@ -87,6 +87,19 @@
     When 7 entry hosts choose among upstreams that tell no pace
     Then they choose as without the exchange
 
+  Scenario Outline: Entry hosts exchange nothing, or without need
+    Given a platform with the replicas "a" and "b" of each service
+    And an entry host
+    And 2 further entry hosts
+    And the replicas tell a pace of "<pace>"
+    When callers send 10 requests a second to each entry host for 3 s
+    Then the totals of each entry host contain <hosts> hosts
+
+    Examples:
+      | pace | hosts |
+      | 130  | 3     |
+      |      | no    |
+
   Scenario Outline: A load that tells a pace is dropped, or a bad one is used
     Then the load "<text>" is read as <running>, <waiting>, <slots>, <pace>
 
--- a/features/steps/load_exchange_steps.py
+++ b/features/steps/load_exchange_steps.py
@@ -343,3 +343,23 @@
 @behave.then('the load "{text}" is not read')
 def check_load_not_read(context, text):
     assert _read_load(text) is None
+
+
+@behave.given('the replicas tell a pace of "{pace}"')
+@behave.given('the replicas tell a pace of ""')
+def set_pace(context, pace=""):
+    for replica in context.bench.replica_by_id.values():
+        replica.pace = pace
+
+
+@behave.then("the totals of each entry host contain {count} hosts")
+def check_totals(context, count):
+    for host in context.bench.hosts:
+        body, _ = host.metrics.render("text/plain")
+        lines = [
+            line
+            for line in body.decode().splitlines()
+            if line.startswith("peridothitch_load_exchange_hosts ")
+        ]
+        expected = [] if count == "no" else [float(count)]
+        assert [float(line.split()[1]) for line in lines] == expected, lines
--- a/src/peridothitch/standins/replica.py
+++ b/src/peridothitch/standins/replica.py
@@ -174,7 +174,7 @@
             [
                 f"HTTP/1.1 {status} {reason}",
                 f"Peridothitch-Attempt-Id: {request.value('Peridothitch-Attempt-Id')}",
-                "Peridothitch-Replica-Load: 1,0,8",
+                f"Peridothitch-Replica-Load: 1,0,8{self.pace and ','}{self.pace}",
                 *self._notice_lines(),
                 *lines,
                 "",
--- a/src/peridothitch/standins/replica_heads.py
+++ b/src/peridothitch/standins/replica_heads.py
@@ -17,12 +17,15 @@
     brittle_limit : str
         Requests that it may have to turn away in a second before it falls over, empty
         if it bears any number.
+    pace : str
+        How long work takes, 100 for as usual; empty if it doesn't tell.
     """
 
     limit = ""
     is_leaving = False
     retry_after = ""
     brittle_limit = ""
+    pace = ""
 
     def _notice_lines(self):
         lines = []
