--- a/src/peridothitch/policy/shared_loads.py
+++ b/src/peridothitch/policy/shared_loads.py
@@ -68,7 +68,7 @@
         Age of the load; infinite without one.
     """
 
-    in_flight: float = 0.0
+    in_flight: float = 0
     backlog_tokens: float = 0.0
     load: forwarding.Load | None = None
     age_seconds: float = math.inf
