Order requests only where a host is told to

Single estimates are too uncertain to refuse on, and little overload is left once the model orders enough upstreams.

--- a/features/room.feature
+++ b/features/room.feature
@@ -78,3 +78,6 @@
 
   Scenario: Services whose upstreams tell no pace are decided as before
     Then without a pace every request is admitted or refused as by the former decision
+
+  Scenario: Requests are ordered on a host that wasn't told to
+    Then on a host that doesn't order requests each is decided as before
--- a/features/steps/waiting_room_steps.py
+++ b/features/steps/waiting_room_steps.py
@@ -171,13 +171,26 @@
 @behave.then(
     "without a pace every request is admitted or refused as by the former decision"
 )
-def check_as_before(context):
+def check_without_pace(context):
+    _check_as_before(context, room_account.RoomAccount(), is_modelled=False)
+
+
+@behave.then("on a host that doesn't order requests each is decided as before")
+def check_switched_off(context):
+    account = room_account.RoomAccount(decides=False)
+    _check_as_before(context, account, is_modelled=True)
+    job = _job(context, _KIND_NAMES[0])
+    estimate = placement.Estimate("u0", 90.0, 90.0, is_modelled=True)
+    assert account.can_end(job, estimate, context.clock.monotonic())
+
+
+def _check_as_before(context, account, is_modelled):
     context.clock = virtual_clock.VirtualClock()
     context.clock.advance(_SECOND)
     deps = types.SimpleNamespace(
         clock=context.clock,
         metrics=metrics.Metrics(),
-        room=room_account.RoomAccount(),
+        room=account,
         moves=types.SimpleNamespace(versions_for_request=lambda *_: None),
         upstreams=types.SimpleNamespace(choose=lambda *_, **__: context.chosen),
     )
@@ -188,7 +201,9 @@
             seconds = number / 15
             context.chosen = (
                 room_service.Upstream("u0"),
-                placement.Estimate("u0", seconds, seconds, busy=60),
+                placement.Estimate(
+                    "u0", seconds, seconds, busy=60, is_modelled=is_modelled
+                ),
             )
             job = _job(context, name, target=1.0)
             delay = admission.refusal_delay(
--- a/src/peridothitch/cli/forward.py
+++ b/src/peridothitch/cli/forward.py
@@ -50,6 +50,12 @@
     help="Memory for the requests of all callers together.  "
     "[default: a fifth of the memory in the settings file]",
 )
+@click.option(
+    "--order-requests",
+    is_flag=True,
+    help="Admit requests by urgency and by when they are expected to end, where the"
+    " speed of a service's upstreams is known.",
+)
 @click.option(
     "--log-format",
     type=click.Choice(["text", "json"]),
@@ -57,7 +63,7 @@
     show_default=True,
     help="Form of log lines on standard output.",
 )
-def forward(path, metrics_port, request_memory, log_format):
+def forward(path, metrics_port, request_memory, order_requests, log_format):
     """Forward requests unchanged as one entry host until SIGTERM.
 
     SIGHUP, or a change of the settings file, reads it again; it cuts nothing.
@@ -69,7 +75,9 @@
     capacity = dataclasses.replace(
         entry_settings.capacity, request_memory_bytes=request_memory
     )
-    entry_settings = dataclasses.replace(entry_settings, capacity=capacity)
+    entry_settings = dataclasses.replace(
+        entry_settings, capacity=capacity, orders_requests=order_requests
+    )
     stream = logs.BoundedStream(sys.stdout)
     logs.install(log_format, stream)
     ip_address = entry_settings.callers_address.rpartition(":")[0]
--- a/src/peridothitch/gateway/forwarding/entry_host.py
+++ b/src/peridothitch/gateway/forwarding/entry_host.py
@@ -29,6 +29,7 @@
     pool_links,
     quota_limiter,
     retry_budgets,
+    room_account,
     store_mirrors,
     upstream_limits,
     upstream_models,
@@ -69,9 +70,7 @@
     """
 
     def __init__(self, settings, platform, clock, metrics_address=""):
-        self._settings = settings
-        self._platform = platform
-        self._clock = clock
+        self._settings, self._platform, self._clock = settings, platform, clock
         self._stop = threading.Event()
         self._ready = self._stopping = False
         self._runner = None
@@ -221,6 +220,7 @@
             record_usage=self._usage.record,
             moves=self._moves,
             held_bytes=held_bytes.HeldBytes(),
+            room=room_account.RoomAccount(self._settings.orders_requests),
             clock=self._clock,
             metrics=self.metrics,
         )
--- a/src/peridothitch/gateway/forwarding/handler.py
+++ b/src/peridothitch/gateway/forwarding/handler.py
@@ -207,7 +207,7 @@
             return None
         _, estimate = chosen
         self._busy_host_meter.record_request(job)
-        if estimate.is_modelled:
+        if estimate.is_modelled and deps.room.decides:
             return self._room.admit(job, chosen, response_writer)
         expected = datetime.timedelta(seconds=estimate.seconds)
         # The time that a slow caller takes to send its body doesn't make it late.
--- a/src/peridothitch/gateway/forwarding/room_account.py
+++ b/src/peridothitch/gateway/forwarding/room_account.py
@@ -34,9 +34,20 @@
 
 
 class RoomAccount:
-    """Pressure by service and learnt errors by route; safe for several threads."""
+    """Pressure by service and learnt errors by route; safe for several threads.
 
-    def __init__(self):
+    Parameters
+    ----------
+    decides : bool
+        Whether requests are judged by it; otherwise it only records.
+
+    Attributes
+    ----------
+    decides : bool
+    """
+
+    def __init__(self, decides=True):
+        self.decides = decides
         self._lock = threading.Lock()
         self._pressure_by_service = collections.defaultdict(
             service_pressure.ServicePressure
@@ -122,7 +133,7 @@
 
     def can_end(self, job, estimate, now):
         """Return whether a request that is sent now is expected to end in time."""
-        if not estimate.is_modelled:
+        if not self.decides or not estimate.is_modelled:
             return True
         with self._lock:
             kind = self._kind_by_route[job.route.name]
--- a/src/peridothitch/ports/entry_settings.py
+++ b/src/peridothitch/ports/entry_settings.py
@@ -96,6 +96,9 @@
         Which duties are enabled.
     bounds : OperatingBounds
     capacity : HostCapacity
+    orders_requests : bool
+        Whether requests for modelled services are admitted by urgency and by the time
+        at which they are expected to end.
     """
 
     host_id: str
@@ -113,3 +116,4 @@
     bounds: OperatingBounds
     helper_address: str = ""
     capacity: HostCapacity = HostCapacity()
+    orders_requests: bool = False
