--- a/features/rules_check.feature
+++ b/features/rules_check.feature
@@ -16,6 +16,7 @@
       | routes   | pay   | {"backends": [{"service": "till"}, {"service": "spare", "weight": 0}]} | unreachable: routes/pay/shares |
       | routes   | pay   | {"service": "spare"}                       | unreachable: services/till        |
       | services | till  | {"scaling": {"min_replicas": 3, "max_replicas": 2}} | contradiction: services/till/scaling |
+      | services | till  | {"cold_start_s": 3, "cold_per_s": 0}       | contradiction: services/till/cold |
       | tenants  | desk  | {"api_keys": []}                           | unreachable: customers/desk       |
       | tenants  | desk  | {"api_keys": ["gate-key"]}                 | unreachable: customers/desk       |
       | tenants  | desk  | {"rate_per_s": 10, "unit": "token_stream", "uncached_tokens": 200} | contradiction: customers/desk/quota |
--- a/src/peridothitch/policy/table_checks.py
+++ b/src/peridothitch/policy/table_checks.py
@@ -113,6 +113,12 @@
 
 
 def _check_service(service):
+    if service.cold_time > _ZERO and service.cold_rate <= 0:
+        yield _contradiction(
+            f"services/{service.name}/cold_rate",
+            f"hosts are cold for {service.cold_time / _SECOND:g} s, but no rate is"
+            " named up to which they take requests",
+        )
     scaling = service.scaling
     if scaling is None:
         return
