--- a/src/peridothitch/gateway/forwarding/helper_client.py
+++ b/src/peridothitch/gateway/forwarding/helper_client.py
@@ -140,7 +140,7 @@
                 found = False
         return found
 
-    def _choose(self, allowed_regions=None):
+    def _choose(self, home_regions=None):
         """Return the hosts to ask, the nearest first, in different data centres.
 
         A host that gets a call has to be in one of the regions that the call may be
@@ -157,7 +157,7 @@
                 for host_id, peer in members.items()
                 if host_id != self._peers.host_id
                 and peer.helper_address
-                and homes.admits(allowed_regions, self._region_of(peer))
+                and homes.admits(home_regions, self._region_of(peer))
             ]
             chosen = []
             while candidates and len(chosen) < _MAX_HELPERS:
--- a/src/peridothitch/gateway/forwarding/upstream_pool.py
+++ b/src/peridothitch/gateway/forwarding/upstream_pool.py
@@ -225,13 +225,13 @@
                     )
             return use_by_upstream, seen_by_upstream
 
-    def _live_entries(self, service, allowed_regions=None):
+    def _live_entries(self, service, home_regions=None):
         return [
             entry
             for entry in self._entry_by_id.values()
             if entry.host.service == service
             and entry.host.state is upstream.HostState.LIVE
-            and homes.admits(allowed_regions, entry.host.region)
+            and homes.admits(home_regions, entry.host.region)
         ]
 
     def find_obstacle(self, service, need):
