--- a/features/load_exchange.feature
+++ b/features/load_exchange.feature
@@ -81,7 +81,7 @@
     Examples:
       | hosts | rate | upstreams | most |
       | 7     | 200  | 20        | 1.7  |
-      | 84    | 600  | 45        | 1.8  |
+      | 84    | 600  | 45        | 1.7  |
 
   Scenario: Upstreams that tell no pace are chosen otherwise than before
     When 7 entry hosts choose among upstreams that tell no pace
