End a stream at its declared length on a kept connection

What callers saw: behind `serve`, a stream of events with a Content-Length whose connection stays open waited for the gap timeout after its last event and failed with 3006, though the answer was whole.

Cause: `http.client` asks for 0 bytes once the declared length was read, and `BoundedReader.read1` waited for further bytes before it looked at the size.

Evidence: the new feature sends answers to each place where answers are read, on connections that are closed and kept.

Why it works: a read of 0 bytes has nothing to wait for.

--- /dev/null
+++ b/features/steps/broken_answers_steps.py
@@ -0,0 +1,152 @@
+"""Steps for answers whose heads or bodies are damaged."""
+
+import json
+import time
+
+import answer_readers
+import behave
+import forwarding_bench as benches
+import scripted_server
+
+from peridothitch import errors
+from peridothitch.standins import platform_records
+
+_STATUS_LINE = "HTTP/1.1 200 OK"
+_SOUND = "told"
+_TEXT = b"twenty bytes of text"
+_SIGNED_LINES = (
+    b"Peridothitch-Attempt-Id: {id}\r\nPeridothitch-Response-Signature: 3e1b\r\n"
+)
+_CLOSE_LINE = b"Connection: close\r\n"
+_MAX_SECONDS = 1.0
+_METHOD_BY_PATH = {"/charge/1": "POST", "/lookup/1": "GET"}
+_REFUSED = "502 with code 3010"
+
+
+def _to_bytes(text):
+    """Return a cell's text as bytes; it may have escapes as in Python."""
+    return text.encode("latin-1").decode("unicode_escape").encode("latin-1")
+
+
+def _fill(text, body):
+    value_by_name = {
+        b"{n}": b"%d" % len(body),
+        b"{half}": b"%d" % (len(body) // 2),
+        b"{chunk}": b"%x\r\n%b\r\n" % (len(body), body),
+        b"{body}": body,
+    }
+    filled = _to_bytes(text)
+    for name, value in value_by_name.items():
+        filled = filled.replace(name, value)
+    return filled
+
+
+def _make_answer(row, first_lines, body):
+    lines = _fill(row.get("lines", "Content-Length: {n}"), body)
+    return b"".join(
+        [
+            _fill(row.get("before", ""), body),
+            _fill(row.get("status line", _STATUS_LINE), body),
+            b"\r\n",
+            first_lines,
+            lines + b"\r\n" if lines else b"",
+            b"\r\n",
+            _fill(row.get("body", "{body}"), body),
+        ]
+    )
+
+
+class _EntryHostReader:
+    """Callers of an entry host before one replica."""
+
+    def __init__(self, bench, server):
+        self._bench = bench
+        self._server = server
+
+    def outcome(self, path):
+        """Send a request and return what the caller got."""
+        count = self._server.request_count
+        response = self._bench.request(path, _METHOD_BY_PATH[path])
+        sent = self._server.request_count - count
+        if response.status == 200:
+            is_sound = response.complete and response.body == _TEXT
+            return _SOUND if is_sound else f"{response}"
+        outcome = f"{response.status} with code {json.loads(response.body)['code']}"
+        return outcome if sent == 1 else f"{outcome}, sent {sent} times"
+
+
+@behave.given("callers and calls of each kind, and servers that send given bytes")
+def start(context):
+    context.bench = benches.ForwardingBench()
+    context.add_cleanup(context.bench.close)
+    context.bench.configure()
+    context.server = scripted_server.ScriptedServer()
+    context.add_cleanup(context.server.close)
+    record = platform_records.host_record(context.server.address, "till", "lothian-a")
+    context.bench.store.put("servers/till-a", record)
+    host = context.bench.start_host()
+    benches.wait_until(lambda: "till-a" in host.catalogue.hosts(), "it is known")
+
+
+def _read_answer(reader, server):
+    try:
+        told = reader.call(server.address)
+    except errors.CodedError as error:
+        return f"{type(error).__name__} {int(error.code)}"
+    except Exception as error:
+        return f"unexpected {error!r}"
+    return _SOUND if told == reader.told else f"other: {told!r}"
+
+
+def _play(context, row, closes):
+    """Yield the reader, the outcome that a broken answer has to have, and its own."""
+    server = context.server
+    server.closes = closes
+    end_line = _CLOSE_LINE if closes else b""
+    server.answer = _make_answer(row, _SIGNED_LINES + end_line, _TEXT)
+    callers = _EntryHostReader(context.bench, server)
+    for path in _METHOD_BY_PATH:
+        yield path, _REFUSED, callers.outcome(path)
+    if "attempt-id" in row.get("before", "").lower():
+        return
+    for name, reader in answer_readers.READER_BY_NAME.items():
+        server.answer = _make_answer(row, reader.first_lines + end_line, reader.body)
+        yield name, reader.error, _read_answer(reader, server)
+
+
+@behave.when("answers come with")
+def send_answers(context):
+    context.outcomes = []
+    endings = (True, False)
+    for row in context.table:
+        cells = row.as_dict()
+        if "nothing" in cells.values():
+            cells = {k: "" if v == "nothing" else v for k, v in cells.items()}
+        for closes in endings if cells.pop("ending", "") != "closed" else (True,):
+            began = time.monotonic()
+            for name, expected, outcome in _play(context, cells, closes):
+                seconds = time.monotonic() - began
+                began = time.monotonic()
+                if seconds > _MAX_SECONDS:
+                    outcome = f"{outcome} after {seconds:.1f} s"
+                context.outcomes.append((cells, closes, name, expected, outcome))
+
+
+def _report(context, faults):
+    lines = [
+        f"{name}, {'closed' if closes else 'kept'}, {cells}: {outcome}"
+        for cells, closes, name, _, outcome in faults
+    ]
+    return f"{len(faults)} of {len(context.outcomes)}:\n" + "\n".join(lines)
+
+
+@behave.then("each of them is read whole")
+def check_sound(context):
+    faults = [played for played in context.outcomes if played[-1] != _SOUND]
+    assert not faults, _report(context, faults)
+
+
+@behave.then("none of them is an answer, and none is asked for again")
+def check_broken(context):
+    faults = [played for played in context.outcomes if played[-1] != played[-2]]
+    assert not faults, _report(context, faults)
--- a/src/peridothitch/bounded_reader.py
+++ b/src/peridothitch/bounded_reader.py
@@ -136,7 +136,7 @@
 
     def read1(self, size=-1):
         """Return at most `size` bytes with at most one read from the socket."""
-        if not self.buffer:
+        if size and not self.buffer:
             self.fill()
         return self._consume_body(len(self.buffer) if size < 0 else size)
 
