Accept blanks after the length of an answer

What callers saw: 502 with code 3010 for a sound answer, though the payment had run, if the replica wrote a blank or a tab after the value of Content-Length.

Cause: `raw_transport._declared_length` checked the value with the blanks around it, which belong to no field value (RFC 9110, section 5.5). The mail parser of `http.client` removes those before a value only.

Why it works: the value is compared without the blanks that the grammar allows.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -14,3 +14,13 @@
       | X-A: b, c\r\nX-A: \xe9\xff\r\ncontent-length: {n}    |
       | !#$%&'*+-.^_`\x7c~9aZ: "(b)"\r\nContent-Length: {n} |
     Then each of them is read whole
+
+  Scenario: Blanks around a value belong to no value
+    When answers come with
+      | lines                                      |
+      | Content-Length:{n}                         |
+      | Content-Length: \t {n}                     |
+      | Content-Length: {n}\x20                    |
+      | Content-Length:{n}\x20\t                   |
+      | X-A: b\x20\t\x20\r\nContent-Length: {n}\t   |
+    Then each of them is read whole
--- a/src/peridothitch/adapters/raw_transport.py
+++ b/src/peridothitch/adapters/raw_transport.py
@@ -229,6 +229,7 @@
     text = response.headers.get("content-length")
     if text is None or response.chunked:
         return response.length
+    text = text.strip(" \t")
     if not text.isdigit():
         raise http.client.HTTPException(f"the length {text!r} is not a number")
     return int(text)
