Read the chunks of all answers with one decoder

What callers saw: behind `serve`, and at the clients of the platform, etcd, engines, the host list, the cloud API and `status`, a body in damaged chunks was a success: a size with a sign, "0x", underscores or blanks, a chunk that does not end after its size, control bytes behind the size. The entry host refused most of these, but waited until the deadline for the end of a line that could be no size any more.

Cause: only `raw_transport` used `chunked_body`; elsewhere `http.client` read the chunks, which takes any text that `int()` takes and skips two bytes after a chunk without a look. `chunked_body` allowed all bytes in an extension and checked a line only once it had ended.

Change: `http_response.Response` takes the place of `http.client.HTTPResponse` wherever answers are read; the head still comes from `http.client`. etcd and `status`, which had no bounds of size and time either, now read within those of `bounded_reader`. In `serve` an invalid answer has code 3010 as at the entry host; a request that may be repeated is repeated after it, as it was while the code was 3003, one that may run only once is not.

Why it works: there is one decoder by RFC 9112, section 7.1, and none that guesses.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -24,3 +24,31 @@
       | Content-Length:{n}\x20\t                   |
       | X-A: b\x20\t\x20\r\nContent-Length: {n}\t   |
     Then each of them is read whole
+
+  Scenario: Sound answers in chunks
+    When answers come with
+      | lines                                                | body                                              |
+      | Transfer-Encoding: chunked                           | {chunk}0\r\n\r\n                                  |
+      | transfer-encoding: Chunked                           | {chunk}000\r\n\r\n                                |
+      | Transfer-Encoding: chunked                           | 0{x};a="b"\r\n{body}\r\n0;c\r\n\r\n               |
+      | Transfer-Encoding: chunked                           | {chunk}0\r\nX-Trailer: a\r\nX-B:\r\n\r\n          |
+    Then each of them is read whole
+
+  Scenario: Chunks are no chunks
+    When answers come with
+      | lines                      | body                                  |
+      | Transfer-Encoding: chunked | +{chunk}0\r\n\r\n                     |
+      | Transfer-Encoding: chunked | -{chunk}0\r\n\r\n                     |
+      | Transfer-Encoding: chunked | 0x{chunk}0\r\n\r\n                    |
+      | Transfer-Encoding: chunked | 0_{chunk}0\r\n\r\n                    |
+      | Transfer-Encoding: chunked | \x20{chunk}0\r\n\r\n                  |
+      | Transfer-Encoding: chunked | \x00{chunk}0\r\n\r\n                  |
+      | Transfer-Encoding: chunked | {x}{body}\r\n0\r\n\r\n                |
+      | Transfer-Encoding: chunked | \r\n{chunk}0\r\n\r\n                  |
+      | Transfer-Encoding: chunked | {x}\r\n{body}XX0\r\n\r\n              |
+      | Transfer-Encoding: chunked | {x}\r\n{body}0\r\n\r\n                |
+      | Transfer-Encoding: chunked | {halfx}\r\n{body}\r\n0\r\n\r\n        |
+      | Transfer-Encoding: chunked | {x};a=\x00\r\n{body}\r\n0\r\n\r\n     |
+      | Transfer-Encoding: chunked | {x};a=b\rc\r\n{body}\r\n0\r\n\r\n     |
+      | Transfer-Encoding: chunked | {body}                                |
+    Then none of them is an answer, and none is asked for again
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -32,6 +32,8 @@
     value_by_name = {
         b"{n}": b"%d" % len(body),
         b"{half}": b"%d" % (len(body) // 2),
+        b"{x}": b"%x" % len(body),
+        b"{halfx}": b"%x" % (len(body) // 2),
         b"{chunk}": b"%x\r\n%b\r\n" % (len(body), body),
         b"{body}": body,
     }
--- a/src/peridothitch/adapters/etcd_store.py
+++ b/src/peridothitch/adapters/etcd_store.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from peridothitch import errors
+from peridothitch import bounded_reader, errors
+from peridothitch.adapters import boot_clock
 from peridothitch.ports import store
 
 __all__ = ["EtcdStore", "prefix_end"]
@@ -26,6 +27,9 @@
     store.Target.MOD: "mod_revision",
 }
 _JSON_HEADERS = {"content-type": "application/json"}
+_MAX_ANSWER_BYTES = 64 << 20
+_MAX_TRANSFER_TIME = datetime.timedelta(seconds=30)
+"""Time for the rest of an answer whose first byte has arrived."""
 
 
 def _encode(text):
@@ -50,12 +54,14 @@
     address : str
         IP address and port.
     timeout : datetime.timedelta
-        Limit on the duration of each call except polls of watches.
+        Longest wait for an answer, and between parts of it, except polls of watches.
+    clock : peridothitch.ports.clock.Clock or None
     """
 
-    def __init__(self, address, timeout=datetime.timedelta(seconds=2)):
+    def __init__(self, address, timeout=datetime.timedelta(seconds=2), clock=None):
         self._address = address
         self._timeout = timeout
+        self._clock = clock or boot_clock.BootClock()
         self._local = threading.local()
 
     def range(self, prefix):
@@ -100,7 +106,9 @@
 
     def watch(self, prefix, start_revision):
         """Watch `prefix` from `start_revision` on."""
-        return _EtcdWatch(self._address, self._timeout, prefix, start_revision)
+        return _EtcdWatch(
+            self._address, self._timeout, self._clock, prefix, start_revision
+        )
 
     def _call(self, method, body):
         is_write = method != "range"
@@ -115,8 +123,14 @@
                 msgspec.json.encode(body),
                 _JSON_HEADERS,
             )
-            response = connection.getresponse()
-            payload = response.read()
+            with bounded_reader.open_response(
+                connection,
+                self._clock,
+                _MAX_ANSWER_BYTES,
+                self._timeout,
+                self._timeout + _MAX_TRANSFER_TIME,
+            ) as response:
+                payload = response.read()
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise _to_error(is_write, f"{method}: {error!r}") from None
@@ -125,20 +139,22 @@
 
 
 class _EtcdWatch(store.Watch):
-    def __init__(self, address, timeout, prefix, revision):
+    def __init__(self, address, timeout, clock, prefix, revision):
         self._connection = _connect(address, timeout)
+        self._pending = b""
         create = {
             "key": _encode(prefix),
             "range_end": base64.b64encode(prefix_end(prefix)).decode(),
             "start_revision": str(revision),
         }
         body = msgspec.json.encode({"create_request": create})
-        # `http.client` detaches the socket when the response declares no length.
-        self._sock = self._connection.sock
         try:
             self._connection.request(
                 "POST", _PATH_BY_METHOD["watch"], body, _JSON_HEADERS
             )
+            self._reader = bounded_reader.limit_response(
+                self._connection, clock, _MAX_ANSWER_BYTES, timeout, timeout
+            )
             self._response = self._connection.getresponse()
         except (OSError, http.client.HTTPException) as error:
             self._connection.close()
@@ -146,25 +162,33 @@
         if self._response.status != http.client.OK:
             self._connection.close()
             raise errors.StoreUnavailableError(f"watch: status {self._response.status}")
+        self._reader.deadline = None
 
     def poll(self, timeout):
+        self._reader.max_wait = timeout
         try:
-            self._sock.settimeout(timeout.total_seconds())
-            line = self._response.readline()
+            line = self._read_line()
         except TimeoutError:
-            # A buffered reader rejects further reads after a timeout.
             self.close()
             raise errors.StoreUnavailableError("watch: silent") from None
-        except (OSError, ValueError) as error:
+        except (OSError, http.client.HTTPException, ValueError) as error:
             raise errors.StoreUnavailableError(f"watch: {error!r}") from None
-        if not line:
-            raise errors.StoreUnavailableError("watch: ended")
         result = msgspec.json.decode(line).get("result", {})
         if result.get("canceled"):
             reason = result.get("cancel_reason", "")
             raise errors.StoreUnavailableError(f"watch: ended: {reason}")
         return tuple(_to_event(event) for event in result.get("events", ()))
 
+    def _read_line(self):
+        self._reader.allow(_MAX_ANSWER_BYTES, bounded_reader.MAX_HEAD_BYTES)
+        while b"\n" not in self._pending:
+            data = self._response.read1()
+            if not data:
+                raise http.client.IncompleteRead(self._pending)
+            self._pending += data
+        line, _, self._pending = self._pending.partition(b"\n")
+        return line
+
     def close(self):
         self._response.close()
         self._connection.close()
--- a/src/peridothitch/adapters/http_transport.py
+++ b/src/peridothitch/adapters/http_transport.py
@@ -122,9 +122,9 @@
 def _to_code(error, default_code):
     if isinstance(error, TimeoutError):
         return errors.Code.UPSTREAM_SILENT
-    if isinstance(error, bounded_reader.SizeLimitError):
-        return errors.Code.ANSWER_INVALID
-    return default_code
+    if isinstance(error, OSError | http.client.IncompleteRead):
+        return default_code
+    return errors.Code.ANSWER_INVALID
 
 
 class _HttpExchange(upstream.Exchange):
@@ -136,9 +136,7 @@
         self._reader = reader
         self._finished = False
         self.status = response.status
-        self.header_by_name = {
-            name.lower(): value for name, value in response.getheaders()
-        }
+        self.header_by_name = response.header_by_name
 
     def read(self):
         try:
@@ -175,8 +173,6 @@
             self._close()
 
     def _finish(self):
-        if not self._is_complete():
-            raise self._abort(http.client.IncompleteRead(b""))
         self._finished = True
         self._response.close()
         # Bytes beyond the response's end belong to no request.
@@ -185,12 +181,6 @@
             return
         self._pool.release(self._address, self._connection)
 
-    def _is_complete(self):
-        """Return whether the body is complete; a truncated one can read like one."""
-        if self._response.length is not None:
-            return not self._response.length
-        return self._response.isclosed()
-
     def _close(self):
         self._response.close()
         self._connection.close()
--- a/src/peridothitch/adapters/raw_transport.py
+++ b/src/peridothitch/adapters/raw_transport.py
@@ -4,7 +4,7 @@
 import http.client
 import threading
 
-from peridothitch import bounded_reader, chunked_body, errors, sockets
+from peridothitch import bounded_reader, errors, http_response, sockets
 from peridothitch.policy import work_pace
 from peridothitch.ports import raw
 
@@ -224,17 +224,6 @@
     return host.address, host.host_id, host.incarnation
 
 
-def _declared_length(response):
-    """Return the body length in the header; a response to HEAD has no body itself."""
-    text = response.headers.get("content-length")
-    if text is None or response.chunked:
-        return response.length
-    text = text.strip(" \t")
-    if not text.isdigit():
-        raise http.client.HTTPException(f"the length {text!r} is not a number")
-    return int(text)
-
-
 def _to_code(error):
     if isinstance(error, TimeoutError):
         return errors.Code.UPSTREAM_SILENT
@@ -255,7 +244,6 @@
         self._released = False
         self._cancelled = threading.Event()
         self._response = None
-        self._chunks = None
         self._is_stream = False
         self._pace = None
 
@@ -271,10 +259,9 @@
             # A line without an end would otherwise be read up to the size limit.
             if not reader.may_start_with(_RESPONSE_PREFIX):
                 raise http.client.BadStatusLine("not an HTTP response")
-            response = http.client.HTTPResponse(reader, method=method)
+            response = http_response.Response(reader, method)
             response.begin()
-            fields = tuple(response.getheaders())
-            metadata = header_codec.read_response(fields)
+            metadata = header_codec.read_response(response.fields)
             if not metadata.request_id or metadata.request_id == request_id:
                 break
             reader.allow(self._limits.discarded_bytes, self._limits.head_bytes)
@@ -286,23 +273,21 @@
         self._response = response
         self.status = response.status
         self.reason = response.reason
-        self.fields = fields
+        self.fields = response.fields
         self.metadata = metadata
-        self.length = _declared_length(response)
+        self.length = response.declared_length
         if (response.length or 0) > self._limits.body_bytes:
             raise bounded_reader.SizeLimitError(self._limits.body_bytes)
         reader.allow(self._limits.body_bytes, self._limits.head_bytes)
-        if response.chunked and response.length is None:
-            self._chunks = chunked_body.ChunkedBody(reader)
-        content_type = response.headers.get("content-type", "").lower()
-        self._is_stream = content_type.startswith(_EVENT_STREAM_TYPE)
+        content_type = response.header_by_name.get("content-type", "")
+        self._is_stream = content_type.lower().startswith(_EVENT_STREAM_TYPE)
         self._pace = work_pace.for_response(self._clock.monotonic())
 
     def set_deadline(self, deadline):
         self._connection.reader.deadline = deadline
 
     def read_some(self):
-        if self._is_complete():
+        if self._response.is_complete:
             self._release()
             return b""
         self._wait_for_pace()
@@ -313,17 +298,9 @@
             raise errors.UpstreamError(
                 _to_code(error), f"body: {error!r}", errors.Ran.UNKNOWN
             ) from None
-        if data:
-            return data
-        if not self._is_complete():
-            self.cancel()
-            raise errors.UpstreamError(
-                errors.Code.OUTCOME_UNKNOWN,
-                "the body was cut off",
-                errors.Ran.UNKNOWN,
-            )
-        self._release()
-        return b""
+        if not data:
+            self._release()
+        return data
 
     def _wait_for_pace(self):
         now = self._clock.monotonic()
@@ -335,10 +312,11 @@
             self._clock.wait(self._cancelled, delay)
 
     def _read(self):
-        if self._chunks is None:
+        chunks = self._response.chunked_body
+        if chunks is None:
             data, chunk_count = self._response.read1(_READ_BYTES), 0
         else:
-            data, chunk_count = self._chunks.read_some(_READ_BYTES)
+            data, chunk_count = chunks.read_some(_READ_BYTES)
         event_count = 0
         if self._is_stream:
             event_count = data.count(b"\n\n") + data.count(b"\n\r\n")
@@ -347,14 +325,6 @@
         self._service_pace.spend(work + bytes_work)
         return data
 
-    def _is_complete(self):
-        response = self._response
-        if self._chunks is not None:
-            return self._chunks.is_complete
-        if response.length is not None:
-            return not response.length
-        return response.isclosed() or self._connection.reader.at_end
-
     def close(self):
         self.cancel()
 
--- a/src/peridothitch/bounded_reader.py
+++ b/src/peridothitch/bounded_reader.py
@@ -9,6 +9,8 @@
 import datetime
 import http.client
 
+from peridothitch import http_response
+
 __all__ = [
     "MAX_HEAD_BYTES",
     "BoundedReader",
@@ -222,7 +224,7 @@
     reader.deadline = clock.monotonic() + max_time
     reader.max_wait = max_wait
     reader.allow(size, MAX_HEAD_BYTES)
-    connection.response_class = lambda sock, **options: http.client.HTTPResponse(
+    connection.response_class = lambda sock, **options: http_response.Response(
         reader, **options
     )
     return reader
--- a/src/peridothitch/chunked_body.py
+++ b/src/peridothitch/chunked_body.py
@@ -9,7 +9,10 @@
 
 __all__ = ["ChunkedBody"]
 
-_SIZE_LINE = re.compile(rb"([0-9a-fA-F]{1,15})[ \t]*(?:;[^\n]*)?\r?\n")
+_SIZE = rb"([0-9a-fA-F]{1,15})[ \t]*"
+_EXTENSIONS = rb"(?:;[\t\x20-\x7e\x80-\xff]*)?"
+_SIZE_LINE = re.compile(_SIZE + _EXTENSIONS + rb"\r?\n")
+_BEGUN_SIZE_LINE = re.compile(rb"(?:" + _SIZE + _EXTENSIONS + rb"\r?)?")
 _MAX_LINE_BYTES = 4096
 _END = b"\r\n"
 _MAX_CHUNKS_PER_READ = 256
@@ -91,7 +94,7 @@
     def _check_incomplete_line(buffer, position):
         """Raise unless more bytes may complete the line with a chunk's size."""
         line = bytes(buffer[position : position + _MAX_LINE_BYTES])
-        if b"\n" in line or len(line) == _MAX_LINE_BYTES:
+        if len(line) == _MAX_LINE_BYTES or not _BEGUN_SIZE_LINE.fullmatch(line):
             raise http.client.HTTPException(f"no size of a chunk: {line[:40]!r}")
 
     def _skip_trailer(self):
--- a/src/peridothitch/cli/status.py
+++ b/src/peridothitch/cli/status.py
@@ -1,16 +1,19 @@
 """``peridothitch status``: whether a change is in force on every live entry host."""
 
+import datetime
 import http.client
 import json
 
 import click
 
-from peridothitch import errors
+from peridothitch import bounded_reader, errors
+from peridothitch.adapters import boot_clock
 from peridothitch.cli import exit_codes, output, settings
 
 __all__ = ["status"]
 
-_TIMEOUT_SECONDS = 5.0
+_TIMEOUT = datetime.timedelta(seconds=5)
+_MAX_REPORT_BYTES = 16 << 20
 
 
 @click.command(cls=settings.SettingsCommand)
@@ -44,12 +47,14 @@
 def _get(address, path):
     ip_address, _, port = address.rpartition(":")
     connection = http.client.HTTPConnection(
-        ip_address, int(port), timeout=_TIMEOUT_SECONDS
+        ip_address, int(port), timeout=_TIMEOUT.total_seconds()
     )
     try:
         connection.request("GET", path)
-        response = connection.getresponse()
-        body = response.read()
+        with bounded_reader.open_response(
+            connection, boot_clock.BootClock(), _MAX_REPORT_BYTES, _TIMEOUT, _TIMEOUT
+        ) as response:
+            body = response.read()
     finally:
         connection.close()
     if response.status != http.client.OK:
--- a/src/peridothitch/platform/client.py
+++ b/src/peridothitch/platform/client.py
@@ -51,12 +51,13 @@
     status : int
     fields : dict
         The decoded JSON body, empty if there is none or it is not an object.
-    headers : email.message.Message or dict of str to str
+    header_by_name : dict of str to str
+        Headers with lower-case names.
     """
 
-    def __init__(self, status, body, headers=None):
+    def __init__(self, status, body, header_by_name):
         self.status = status
-        self.headers = {} if headers is None else headers
+        self.header_by_name = header_by_name
         try:
             fields = msgspec.json.decode(body) if body else {}
         except (msgspec.DecodeError, RecursionError) as error:
@@ -133,7 +134,7 @@
             connection.close()
         else:
             self._put_idle(connection)
-        return Answer(response.status, content, response.headers)
+        return Answer(response.status, content, response.header_by_name)
 
     def close(self):
         """Close all connections; calls in progress fail with an error."""
--- a/src/peridothitch/platform/eras.py
+++ b/src/peridothitch/platform/eras.py
@@ -9,7 +9,7 @@
 
 __all__ = ["HEADER", "EraTracker"]
 
-HEADER = "Store-Era"
+HEADER = "store-era"
 _MAX_ERA = (1 << 22) - 1
 """Largest era taken for one; revisions of a later one would exceed 63 bits."""
 
--- a/src/peridothitch/platform/store.py
+++ b/src/peridothitch/platform/store.py
@@ -195,7 +195,7 @@
             answer = self._client.call("GET", path, timeout, query=query)
         except client.CallError as error:
             raise client.to_store_error(error, writes=False) from None
-        era = self._eras.record(answer.headers.get(eras.HEADER))
+        era = self._eras.record(answer.header_by_name.get(eras.HEADER))
         if era < self._eras.current:
             raise errors.StoreUnavailableError(self._describe_past(era))
         return answer, era
@@ -206,7 +206,7 @@
             answer = self._client.call(method, path, _CALL_TIMEOUT, body=body)
         except client.CallError as error:
             raise client.to_store_error(error, writes=True) from None
-        era = self._eras.record(answer.headers.get(eras.HEADER))
+        era = self._eras.record(answer.header_by_name.get(eras.HEADER))
         if era < self._eras.current:
             # The store may have lost the write since.
             raise errors.StoreUnclearError(self._describe_past(era))
--- a/src/peridothitch/policy/retries.py
+++ b/src/peridothitch/policy/retries.py
@@ -13,6 +13,7 @@
 _MAX_DOUBLING_COUNT = 6
 _RETRIABLE_CODES = frozenset(
     {
+        errors.Code.ANSWER_INVALID,
         errors.Code.OUTCOME_UNKNOWN,
         errors.Code.STREAM_INTERRUPTED,
         errors.Code.UPSTREAM_SILENT,
