Refuse heads with a carriage return inside a line

Since heads are read line by line, a value with a bare CR was passed on as it is.

Cause: the mail parser took a bare CR for the end of a line, and the expression for a field allowed every byte in a value.

Why it works: RFC 9112, section 2.2 lets a recipient refuse such an element or put a blank for the CR. The second would let `2<CR>0` be read as something that nobody sent.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -98,3 +98,16 @@
       | Content-Length: {n}\r\nX-A: b\r\n\tc   |
       | Content-Length: {n}\r\nX-A:\r\n\x20\x20 |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: A carriage return is no end of a line
+    When answers come with
+      | lines                                          |
+      | Content-Length: {half}\r0                      |
+      | Content-Length: {n}\r                          |
+      | X-A: b\rContent-Length: {half}                 |
+      | X-A: b\rc\r\nContent-Length: {n}               |
+      | X-A: b\r\r\nContent-Length: {n}                |
+      | \rX-A: b\r\nContent-Length: {n}                |
+      | X-A:\r b\r\nContent-Length: {n}                |
+      | Content-Length: {n}\r\nX-A: b\rX-B: c          |
+    Then none of them is an answer, and none is asked for again
--- a/src/peridothitch/response_head.py
+++ b/src/peridothitch/response_head.py
@@ -14,7 +14,7 @@
 __all__ = ["InvalidHeadError", "ResponseHead", "read", "read_fields"]
 
 _PREFIX = b"HTTP/1."
-_FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):(.*)", re.DOTALL)
+_FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\r]*)")
 _MAX_SHOWN_BYTES = 60
 
 
