Refuse heads with a control byte in a value

What callers saw: a NUL or another control byte in a field's value was passed on as it is.

Why it works: RFC 9110, section 5.5 calls NUL invalid and dangerous, and the other control bytes invalid; a recipient may retain those. A sound server sends none of them, so all are refused.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -111,3 +111,17 @@
       | X-A:\r b\r\nContent-Length: {n}                |
       | Content-Length: {n}\r\nX-A: b\rX-B: c          |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: A control byte in a value
+    When answers come with
+      | lines                                          |
+      | X-A: b\x00c\r\nContent-Length: {n}             |
+      | X-A: b\x01c\r\nContent-Length: {n}             |
+      | X-A: b\x0bc\r\nContent-Length: {n}             |
+      | X-A: b\x0c\r\nContent-Length: {n}              |
+      | X-A: \x1bc\r\nContent-Length: {n}              |
+      | X-A: b\x7fc\r\nContent-Length: {n}             |
+      | Content-Length: {n}\r\nX-A: b\x00              |
+      | Content-Length: {n}\x0b                        |
+      | Content-Length: \x1f{n}                        |
+    Then none of them is an answer, and none is asked for again
--- a/src/peridothitch/response_head.py
+++ b/src/peridothitch/response_head.py
@@ -4,7 +4,8 @@
 first line that it can't read and doesn't say so. The response then has other fields
 than the server sent, and another length.
 
-Folded lines are errors, which section 5.2 permits.
+Where the grammar leaves a choice, such heads are errors: folded lines (section 5.2) and
+control bytes in values (RFC 9110, section 5.5).
 """
 
 import dataclasses
@@ -14,7 +15,9 @@
 __all__ = ["InvalidHeadError", "ResponseHead", "read", "read_fields"]
 
 _PREFIX = b"HTTP/1."
-_FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\r]*)")
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+_FIELD = re.compile(rb"(%b):(%b)" % (_TOKEN, _TEXT))
 _MAX_SHOWN_BYTES = 60
 
 
