Refuse heads of which single lines end without a carriage return

What callers saw: a line feed inside a value made a field of its own of the rest, so that `X-A: b<LF>Content-Length: 10` gave a success of 10 of 20 bytes.

Cause: each line could end with either CR LF or LF, whatever those before it did.

Heads whose lines all end with LF are read as before; a scenario shows it.

Why it works: RFC 9112, section 2.2 permits to take LF for a line's end, for servers that write their lines so. Such a server writes all of them so; one that ends the status line with CR LF has no line that ends otherwise.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -125,3 +125,20 @@
       | Content-Length: {n}\x0b                        |
       | Content-Length: \x1f{n}                        |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: Sound heads whose lines all end without a carriage return
+    When answers come with
+      | line end | lines                       |
+      | \n       | Content-Length: {n}         |
+      | \n       | X-A: b\r\nContent-Length:{n} |
+    Then each of them is read whole
+
+  Scenario: A line of the head ends otherwise than those before it
+    When answers come with
+      | lines                                          |
+      | X-A: b\nContent-Length: {n}                    |
+      | X-A: b\nContent-Length: {half}                 |
+      | X-A: b\nX-B: c\r\nContent-Length: {n}          |
+      | Content-Length: {n}\nX-A: b                    |
+      | Content-Length: {n}\n                          |
+    Then none of them is an answer, and none is asked for again
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -45,16 +45,15 @@
 
 def _make_answer(row, first_lines, body):
     lines = _fill(row.get("lines", "Content-Length: {n}"), body)
-    return b"".join(
-        [
-            _fill(row.get("before", ""), body),
-            _fill(row.get("status line", _STATUS_LINE), body),
-            b"\r\n",
-            first_lines,
-            lines + b"\r\n" if lines else b"",
-            b"\r\n",
-            _fill(row.get("body", "{body}"), body),
-        ]
+    status_line = _fill(row.get("status line", _STATUS_LINE), body)
+    lines = lines and lines + b"\r\n"
+    head = status_line + b"\r\n" + first_lines + lines + b"\r\n"
+    if "line end" in row:
+        head = head.replace(b"\r\n", _to_bytes(row["line end"]))
+    return (
+        _fill(row.get("before", ""), body)
+        + head
+        + _fill(row.get("body", "{body}"), body)
     )
 
 
--- a/src/peridothitch/response_head.py
+++ b/src/peridothitch/response_head.py
@@ -5,7 +5,8 @@
 than the server sent, and another length.
 
 Where the grammar leaves a choice, such heads are errors: folded lines (section 5.2) and
-control bytes in values (RFC 9110, section 5.5).
+control bytes in values (RFC 9110, section 5.5). Lines may end with a line feed alone
+(section 2.2) if all lines of the head do; a single one may be damage.
 """
 
 import dataclasses
@@ -18,6 +19,7 @@
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 _FIELD = re.compile(rb"(%b):(%b)" % (_TOKEN, _TEXT))
+_LINE_ENDS = (b"\r\n", b"\n")
 _MAX_SHOWN_BYTES = 60
 
 
@@ -97,8 +99,9 @@
         # A line without an end would otherwise be read up to the size limit.
         if not reader.may_start_with(_PREFIX):
             raise InvalidHeadError(f"no status line: {_show(reader.buffer)}")
-        version, status, reason = _read_status(_read_line(reader))
-        fields = read_fields(reader)
+        line, line_end = _read_line(reader)
+        version, status, reason = _read_status(line)
+        fields = read_fields(reader, line_end)
         if status != http.client.CONTINUE:
             return ResponseHead(
                 minor_version=0 if version == "HTTP/1.0" else 1,
@@ -108,9 +111,15 @@
             )
 
 
-def read_fields(reader):
+def read_fields(reader, line_end=None):
     """Read the fields of a head or a trailer and the empty line after them.
 
+    Parameters
+    ----------
+    reader : peridothitch.bounded_reader.BoundedReader
+    line_end : bytes or None
+        How each line has to end; None for the end of the first one.
+
     Returns
     -------
     tuple of (str, str)
@@ -121,20 +130,24 @@
     http.client.IncompleteRead
     """
     fields = []
-    while line := _read_line(reader):
+    line, line_end = _read_line(reader, line_end)
+    while line:
         found = _FIELD.fullmatch(line)
         if found is None:
             raise InvalidHeadError(f"not a field: {_show(line)}")
         name, value = found.groups()
         fields.append((name.decode("ascii"), value.strip(b" \t").decode("latin-1")))
+        line, line_end = _read_line(reader, line_end)
     return tuple(fields)
 
 
-def _read_line(reader):
+def _read_line(reader, expected_end=None):
+    """Return a line and how it ends."""
     line = reader.readline()
-    if not line.endswith(b"\n"):
-        raise InvalidHeadError(f"a line without an end: {_show(line)}")
-    return line.removesuffix(b"\n").removesuffix(b"\r")
+    line_end = next(filter(line.endswith, _LINE_ENDS), None)
+    if line_end is None or line_end != (expected_end or line_end):
+        raise InvalidHeadError(f"the line's end is not {expected_end}: {_show(line)}")
+    return line.removesuffix(line_end), line_end
 
 
 def _read_status(line):
