Take a length only if the head tells one

A sound answer that tells its length twice in one field, which RFC 9110, section 8.6 allows to take, was 502. A superscript digit was a number to `isdigit()` and an error without a code to `int()`.

Cause: the first field alone was looked at, with string methods that know more digits than the grammar.

Why it works: all values have to be numbers of the grammar and the same (RFC 9112, section 6.3).

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -142,3 +142,36 @@
       | Content-Length: {n}\nX-A: b                    |
       | Content-Length: {n}\n                          |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: Lengths that are the same
+    When answers come with
+      | lines                                      |
+      | Content-Length: {n}\r\nContent-Length: {n} |
+      | Content-Length: {n}, {n}\t,{n}             |
+      | Content-Length: 0{n}                       |
+    Then each of them is read whole
+
+  Scenario: A length that is none, or several
+    When answers come with
+      | lines                                         |
+      | Content-Length: {half}\r\nContent-Length: {n} |
+      | Content-Length: {n}\r\nContent-Length: {half} |
+      | Content-Length: {n}\r\ncontent-length:        |
+      | Content-Length: {half}, {n}                   |
+      | Content-Length: {n},                          |
+      | Content-Length: ,{n}                          |
+      | Content-Length: {n} {n}                       |
+      | Content-Length: {n};                          |
+      | Content-Length:                               |
+      | Content-Length: +{n}                          |
+      | Content-Length: -{n}                          |
+      | Content-Length: -1                            |
+      | Content-Length: 0x{x}                         |
+      | Content-Length: {n}.0                         |
+      | Content-Length: 0_{n}                         |
+      | Content-Length: "{n}"                         |
+      | Content-Length: \xb2                          |
+      | Content-Length: twenty                        |
+      | Content-Length: {n}x                          |
+      | Content-Length: 99999999999999999999          |
+    Then none of them is an answer, and none is asked for again
--- a/src/peridothitch/response_head.py
+++ b/src/peridothitch/response_head.py
@@ -19,6 +19,7 @@
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 _FIELD = re.compile(rb"(%b):(%b)" % (_TOKEN, _TEXT))
+_LENGTH = re.compile("[0-9]{1,15}")
 _LINE_ENDS = (b"\r\n", b"\n")
 _MAX_SHOWN_BYTES = 60
 
@@ -54,21 +55,18 @@
     @property
     def length(self):
         """Length of the body in bytes, None if the head doesn't tell it."""
-        lengths = self._values("content-length")[:1]
-        if not lengths or self.is_chunked:
+        texts = self._options("content-length")
+        if not texts or self.is_chunked:
             return None
-        if not lengths[0].isdigit():
-            raise InvalidHeadError(f"the length {lengths[0]!r} is no number")
-        return int(lengths[0])
+        lengths = {int(text) if _LENGTH.fullmatch(text) else None for text in texts}
+        if None in lengths or len(lengths) > 1:
+            raise InvalidHeadError(f"not one length: {', '.join(texts)!r}")
+        return lengths.pop()
 
     @property
     def closes(self):
         """Whether the server closes the connection after the response."""
-        options = {
-            option.strip(" \t")
-            for value in self._values("connection")
-            for option in value.split(",")
-        }
+        options = self._options("connection")
         if "close" in options:
             return True
         return self.minor_version == 0 and "keep-alive" not in options
@@ -77,6 +75,14 @@
         """Return the values of the fields of a name in lower case."""
         return [value.lower() for found, value in self.fields if found.lower() == name]
 
+    def _options(self, name):
+        """Return the elements of the lists in the fields of a name in lower case."""
+        return [
+            option.strip(" \t")
+            for value in self._values(name)
+            for option in value.split(",")
+        ]
+
 
 def read(reader):
     """Read a head and the interim responses before it.
