Refuse transfer codings other than chunked, once

What callers saw: for `gzip, chunked`, `chunked, chunked` and the like the chunks' framing was passed on as the body, or the length beside them was believed.

Cause: only the first field was compared with `chunked`; every other coding counted as none.

Why it works: a body in a coding that can't be undone has no known end (RFC 9112, section 6.3). Requests offer no coding, so a sound server uses none but `chunked`, and none in HTTP/1.0 (section 6.1).

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -175,3 +175,23 @@
       | Content-Length: {n}x                          |
       | Content-Length: 99999999999999999999          |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: A transfer coding that is not chunked once and alone
+    When answers come with
+      | status line     | lines                                                       | body             |
+      | HTTP/1.1 200 OK | Transfer-Encoding: gzip, chunked                            | {chunk}0\r\n\r\n |
+      | HTTP/1.1 200 OK | Transfer-Encoding: chunked, gzip                            | {chunk}0\r\n\r\n |
+      | HTTP/1.1 200 OK | Transfer-Encoding: chunked, chunked                         | {chunk}0\r\n\r\n |
+      | HTTP/1.1 200 OK | Transfer-Encoding: chunked,                                 | {chunk}0\r\n\r\n |
+      | HTTP/1.1 200 OK | Transfer-Encoding: chunked;q=1                              | {chunk}0\r\n\r\n |
+      | HTTP/1.1 200 OK | Transfer-Encoding: "chunked"                                | {chunk}0\r\n\r\n |
+      | HTTP/1.1 200 OK | Transfer-Encoding: xchunked                                 | {chunk}0\r\n\r\n |
+      | HTTP/1.1 200 OK | Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked    | {chunk}0\r\n\r\n |
+      | HTTP/1.1 200 OK | Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked       | {chunk}0\r\n\r\n |
+      | HTTP/1.1 200 OK | Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip       | {chunk}0\r\n\r\n |
+      | HTTP/1.1 200 OK | Transfer-Encoding: gzip                                     | {body}           |
+      | HTTP/1.1 200 OK | Transfer-Encoding: gzip\r\nContent-Length: {n}              | {body}           |
+      | HTTP/1.1 200 OK | Transfer-Encoding: identity\r\nContent-Length: {n}          | {body}           |
+      | HTTP/1.1 200 OK | Transfer-Encoding:\r\nContent-Length: {n}                   | {body}           |
+      | HTTP/1.0 200 OK | Transfer-Encoding: chunked                                  | {chunk}0\r\n\r\n |
+    Then none of them is an answer, and none is asked for again
--- a/src/peridothitch/response_head.py
+++ b/src/peridothitch/response_head.py
@@ -34,54 +34,24 @@
 
     Attributes
     ----------
-    minor_version : int
-        Of HTTP/1.
     status : int
     reason : str
     fields : tuple of (str, str)
         Each character stands for one byte.
+    length : int or None
+        Length of the body in bytes, None if the head doesn't tell it.
+    is_chunked : bool
+        Whether a body would come in chunks.
+    closes : bool
+        Whether the server closes the connection after the response.
     """
 
-    minor_version: int
     status: int
     reason: str
     fields: tuple
-
-    @property
-    def is_chunked(self):
-        """Whether a body would come in chunks."""
-        return self._values("transfer-encoding")[:1] == ["chunked"]
-
-    @property
-    def length(self):
-        """Length of the body in bytes, None if the head doesn't tell it."""
-        texts = self._options("content-length")
-        if not texts or self.is_chunked:
-            return None
-        lengths = {int(text) if _LENGTH.fullmatch(text) else None for text in texts}
-        if None in lengths or len(lengths) > 1:
-            raise InvalidHeadError(f"not one length: {', '.join(texts)!r}")
-        return lengths.pop()
-
-    @property
-    def closes(self):
-        """Whether the server closes the connection after the response."""
-        options = self._options("connection")
-        if "close" in options:
-            return True
-        return self.minor_version == 0 and "keep-alive" not in options
-
-    def _values(self, name):
-        """Return the values of the fields of a name in lower case."""
-        return [value.lower() for found, value in self.fields if found.lower() == name]
-
-    def _options(self, name):
-        """Return the elements of the lists in the fields of a name in lower case."""
-        return [
-            option.strip(" \t")
-            for value in self._values(name)
-            for option in value.split(",")
-        ]
+    length: int | None
+    is_chunked: bool
+    closes: bool
 
 
 def read(reader):
@@ -108,13 +78,17 @@
         line, line_end = _read_line(reader)
         version, status, reason = _read_status(line)
         fields = read_fields(reader, line_end)
-        if status != http.client.CONTINUE:
-            return ResponseHead(
-                minor_version=0 if version == "HTTP/1.0" else 1,
-                status=status,
-                reason=reason,
-                fields=fields,
-            )
+        if status == http.client.CONTINUE:
+            continue
+        is_chunked = _is_chunked(version, fields)
+        return ResponseHead(
+            status=status,
+            reason=reason,
+            fields=fields,
+            length=_find_length(fields, is_chunked),
+            is_chunked=is_chunked,
+            closes=_closes(version, fields),
+        )
 
 
 def read_fields(reader, line_end=None):
@@ -168,5 +142,48 @@
     return version, code, reason.strip()
 
 
+def _is_chunked(version, fields):
+    codings = _values(fields, "transfer-encoding")
+    if not codings:
+        return False
+    # HTTP/1.0 has no transfer codings (RFC 9112, section 6.1).
+    if codings != ["chunked"] or version == "HTTP/1.0":
+        raise InvalidHeadError(f"not the coding chunked: {version}, {codings}")
+    return True
+
+
+def _find_length(fields, is_chunked):
+    """Return the length of the body, None if there is none.
+
+    Several that are the same count as one (RFC 9110, section 8.6).
+    """
+    texts = _options(fields, "content-length")
+    if not texts:
+        return None
+    lengths = {int(text) if _LENGTH.fullmatch(text) else None for text in texts}
+    if None in lengths or len(lengths) > 1:
+        raise InvalidHeadError(f"not one length: {', '.join(texts)!r}")
+    return None if is_chunked else lengths.pop()
+
+
+def _closes(version, fields):
+    options = _options(fields, "connection")
+    return "close" in options or (version == "HTTP/1.0" and "keep-alive" not in options)
+
+
+def _values(fields, name):
+    """Return the values of the fields of a name in lower case."""
+    return [value.lower() for found, value in fields if found.lower() == name]
+
+
+def _options(fields, name):
+    """Return the elements of the lists in the fields of a name in lower case."""
+    return [
+        option.strip(" \t")
+        for value in _values(fields, name)
+        for option in value.split(",")
+    ]
+
+
 def _show(data):
     return repr(bytes(data[:_MAX_SHOWN_BYTES]))
