Refuse a length beside chunks

What callers saw: an answer whose head tells a length and chunks was read by the chunks, and the length was forgotten, whichever of the two was the damage.

Cause: the length was not looked at where there are chunks.

Why it works: RFC 9112, section 6.1 forbids servers to send both, and section 6.3 advises to take it for an error. Believing the chunks was weighed: it delivers an answer that is whole if only the length is wrong, but that can't be told.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -195,3 +195,11 @@
       | HTTP/1.1 200 OK | Transfer-Encoding:\r\nContent-Length: {n}                   | {body}           |
       | HTTP/1.0 200 OK | Transfer-Encoding: chunked                                  | {chunk}0\r\n\r\n |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: A length beside chunks
+    When answers come with
+      | lines                                                    | body             |
+      | Transfer-Encoding: chunked\r\nContent-Length: {n}        | {chunk}0\r\n\r\n |
+      | Content-Length: {half}\r\nTransfer-Encoding: chunked     | {chunk}0\r\n\r\n |
+      | Content-Length: {n}\r\nTransfer-Encoding: chunked        | {body}           |
+    Then none of them is an answer, and none is asked for again
--- a/src/peridothitch/response_head.py
+++ b/src/peridothitch/response_head.py
@@ -6,7 +6,8 @@
 
 Where the grammar leaves a choice, such heads are errors: folded lines (section 5.2) and
 control bytes in values (RFC 9110, section 5.5). Lines may end with a line feed alone
-(section 2.2) if all lines of the head do; a single one may be damage.
+(section 2.2) if all lines of the head do; a single one may be damage. A length beside
+chunks is an error, as section 6.3 advises.
 """
 
 import dataclasses
@@ -163,7 +164,9 @@
     lengths = {int(text) if _LENGTH.fullmatch(text) else None for text in texts}
     if None in lengths or len(lengths) > 1:
         raise InvalidHeadError(f"not one length: {', '.join(texts)!r}")
-    return None if is_chunked else lengths.pop()
+    if is_chunked:
+        raise InvalidHeadError(f"a length beside chunks: {texts[0]!r}")
+    return lengths.pop()
 
 
 def _closes(version, fields):
