Read on after every interim response

What callers saw: 502 for a payment that had run, if the replica sent 103 Early Hints before its answer.

Cause: `http.client` skips 100 only and takes 102, 103 and unknown ones for the answer itself.

Why it works: all statuses 1xx but 101 announce a further head (RFC 9110, section 15.2); a client may ignore what they tell.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -252,3 +252,13 @@
       | \r\nHTTP/1.1 200 OK      |
       | OK                       |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: Answers after interim responses
+    When answers come with
+      | before                                                            |
+      | HTTP/1.1 100 Continue\r\n\r\n                                     |
+      | HTTP/1.1 102 Processing\r\n\r\n                                   |
+      | HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n                    |
+      | HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n     |
+      | HTTP/1.1 199\r\nContent-Length: 3\r\n\r\n                         |
+    Then each of them is read whole
--- a/src/peridothitch/response_head.py
+++ b/src/peridothitch/response_head.py
@@ -12,6 +12,7 @@
 """
 
 import dataclasses
+import http
 import http.client
 import re
 
@@ -81,7 +82,7 @@
         line, line_end = _read_line(reader)
         version, status, reason = _parse_status_line(line)
         fields = read_fields(reader, line_end)
-        if status == http.client.CONTINUE:
+        if http.HTTPStatus.SWITCHING_PROTOCOLS != status < http.HTTPStatus.OK:
             continue
         is_chunked = _is_chunked(version, fields)
         return ResponseHead(
