Refuse an answer that switches to another protocol

What callers saw: 101 was passed on as the answer, and the connection was kept for the next request, though the replica spoke another protocol on it.

Cause: no reader knew 101; it was a response without special meaning.

Broken interim responses, which the scenario sends too, were refused already.

Why it works: `Upgrade` concerns one connection and is never forwarded, so no request asks to switch, and RFC 9110, section 15.2.2 allows 101 only where one does.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -262,3 +262,15 @@
       | HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n     |
       | HTTP/1.1 199\r\nContent-Length: 3\r\n\r\n                         |
     Then each of them is read whole
+
+  Scenario: Interim responses that are broken, or switch to another protocol
+    When answers come with
+      | before                                   | status line                      |
+      | nothing                                  | HTTP/1.1 101 Switching Protocols |
+      | HTTP/1.1 101 Switching Protocols\r\n\r\n | HTTP/1.1 200 OK                  |
+      | HTTP/1.1 100 Continue\r\n\r\n            | HTTP/1.1 101 Switching Protocols |
+      | HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n | HTTP/1.1 200 OK                |
+      | HTTP/1.1 100 Continue\r\nX-A\r\n\r\n     | HTTP/1.1 200 OK                  |
+      | HTTP/1.1 +100 Continue\r\n\r\n           | HTTP/1.1 200 OK                  |
+      | HTTP/1.1 100 Continue\r\n\r\nabc         | HTTP/1.1 200 OK                  |
+    Then none of them is an answer, and none is asked for again
--- a/src/peridothitch/response_head.py
+++ b/src/peridothitch/response_head.py
@@ -82,7 +82,9 @@
         line, line_end = _read_line(reader)
         version, status, reason = _parse_status_line(line)
         fields = read_fields(reader, line_end)
-        if http.HTTPStatus.SWITCHING_PROTOCOLS != status < http.HTTPStatus.OK:
+        if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+            raise InvalidHeadError("another protocol, which no request asks for")
+        if status < http.HTTPStatus.OK:
             continue
         is_chunked = _is_chunked(version, fields)
         return ResponseHead(
