Read trailers by the grammar of fields

What callers saw: a body in chunks was a success whatever stood between its last chunk and the next empty line, a whole other head for example.

Cause: `chunked_body` skipped lines up to an empty one.

Why it works: a trailer is read by `response_head.read_fields`, as the fields of a head are (RFC 9112, section 7.1.2). Where it is broken, the body's end can't be trusted either.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -274,3 +274,16 @@
       | HTTP/1.1 +100 Continue\r\n\r\n           | HTTP/1.1 200 OK                  |
       | HTTP/1.1 100 Continue\r\n\r\nabc         | HTTP/1.1 200 OK                  |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: A trailer that is broken
+    When answers come with
+      | lines                      | body                                           |
+      | Transfer-Encoding: chunked | {chunk}0\r\nX-A : b\r\n\r\n                     |
+      | Transfer-Encoding: chunked | {chunk}0\r\nX A: b\r\n\r\n                      |
+      | Transfer-Encoding: chunked | {chunk}0\r\nX-A\r\n\r\n                         |
+      | Transfer-Encoding: chunked | {chunk}0\r\nX-A: \x00\r\n\r\n                   |
+      | Transfer-Encoding: chunked | {chunk}0\r\nX-A: b\rc\r\n\r\n                   |
+      | Transfer-Encoding: chunked | {chunk}0\r\nX-A: b\nX-B: c\r\n\r\n              |
+      | Transfer-Encoding: chunked | {chunk}0\r\nX-A: b\r\n c\r\n\r\n                |
+      | Transfer-Encoding: chunked | {chunk}0\r\nHTTP/1.1 200 OK\r\n\r\n             |
+    Then none of them is an answer, and none is asked for again
--- a/src/peridothitch/chunked_body.py
+++ b/src/peridothitch/chunked_body.py
@@ -1,4 +1,4 @@
-"""Reads HTTP bodies in chunks, many chunks at once.
+"""Reads HTTP bodies in chunks, many chunks at once; the trailer's fields are dropped.
 
 `http.client` makes several reads for each chunk, which takes a hundred times the work
 where an upstream sends a few bytes in each.
@@ -7,6 +7,8 @@
 import http.client
 import re
 
+from peridothitch import response_head
+
 __all__ = ["ChunkedBody"]
 
 _SIZE = rb"([0-9a-fA-F]{1,15})[ \t]*"
@@ -48,7 +50,8 @@
         while not self.is_complete:
             data, chunk_count, is_last = self._decode(max_size)
             if is_last:
-                self._skip_trailer()
+                response_head.read_fields(self._reader)
+                self.is_complete = True
             if data:
                 return data, chunk_count
             if not self.is_complete and not self._reader.fill():
@@ -96,8 +99,3 @@
         line = bytes(buffer[position : position + _MAX_LINE_BYTES])
         if len(line) == _MAX_LINE_BYTES or not _BEGUN_SIZE_LINE.fullmatch(line):
             raise http.client.HTTPException(f"no size of a chunk: {line[:40]!r}")
-
-    def _skip_trailer(self):
-        while self._reader.readline(_MAX_LINE_BYTES) not in (b"\r\n", b"\n"):
-            continue
-        self.is_complete = True
