Show what holds: answers to other requests, status 000, uploads that are reset

Heads before and after an answer that is discarded are read by the same reader, so what broke them is refused there, too. A replica that answers an upload of 60 kB or 3 MB before its end and resets the connection 0, 30 or 200 ms later is 502 with code 3003 at the entry host and a coded error in `serve`, and the request is sent once: the reset reaches the write or the read, and neither is taken for the body's end. The product is unchanged.

--- a/features/answer_readers.py
+++ b/features/answer_readers.py
@@ -97,11 +97,12 @@
     )
 
 
-def _open(address):
+def _open(address, body=b""):
     call = upstream.Call(
         method="POST",
         path="/",
         header_by_name={},
+        body=body,
         first_byte_timeout=_TIMEOUT,
         gap_timeout=_TIMEOUT,
     )
@@ -237,3 +238,10 @@
     ),
 }
 """All but the entry host; its own are in ``steps/broken_answers_steps.py``."""
+
+
+def make_upload_reader(upload, body):
+    """Return the reader in ``serve`` of the answer to a request with a body."""
+    return Reader(
+        lambda address: _open(address, upload).read(), body, body, "UpstreamError"
+    )
--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -287,3 +287,45 @@
       | Transfer-Encoding: chunked | {chunk}0\r\nX-A: b\r\n c\r\n\r\n                |
       | Transfer-Encoding: chunked | {chunk}0\r\nHTTP/1.1 200 OK\r\n\r\n             |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: The head before or after an answer to another request is broken
+    When answers come with
+      | before                                                                                 | lines               |
+      | HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: a\r\nContent-Length : 2\r\n\r\nab          | Content-Length: {n} |
+      | HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: a\r\nContent-Length: 2\r0\r\n\r\nab        | Content-Length: {n} |
+      | HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: a\r\nContent-Length: +2\r\n\r\nab          | Content-Length: {n} |
+      | HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: a\r\nX-A\r\nContent-Length: 2\r\n\r\nab    | Content-Length: {n} |
+      | HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n+0\r\n\r\n | Content-Length: {n} |
+      | HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: a\r\nContent-Length: 2\r\n\r\nabc          | Content-Length: {n} |
+      | HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: a\r\nContent-Length: 2\r\n\r\nab           | Content-Length : {n} |
+      | HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: a\r\nContent-Length: 2\r\n\r\nab           | X A: b\r\nContent-Length: {n} |
+    Then none of them is an answer, and none is asked for again
+
+  Scenario: An answer to another request comes first
+    When answers come with
+      | before                                                                                 |
+      | HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: a\r\nContent-Length: 2\r\n\r\nab           |
+      | HTTP/1.1 200 OK\r\nPeridothitch-Attempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n |
+    Then each of them is read whole
+
+  Scenario: The status is 000
+    When answers come with
+      | status line     |
+      | HTTP/1.1 000 OK |
+      | HTTP/1.1 000    |
+    Then none of them is an answer, and none is asked for again
+
+  Scenario: An upload is answered before its end and reset
+    When uploads are answered at once and their connections reset
+      | kilobytes | after ms | lines                      | body    |
+      | 60        | 0        | nothing                    | {body}  |
+      | 60        | 30       | nothing                    | {body}  |
+      | 60        | 200      | nothing                    | {body}  |
+      | 3000      | 0        | nothing                    | {body}  |
+      | 3000      | 30       | nothing                    | {body}  |
+      | 3000      | 200      | nothing                    | {body}  |
+      | 60        | 30       | Content-Length: 1000       | {body}  |
+      | 3000      | 30       | Content-Length: 1000       | {body}  |
+      | 60        | 30       | Transfer-Encoding: chunked | {chunk} |
+      | 3000      | 30       | Transfer-Encoding: chunked | {chunk} |
+    Then none of them is an answer, and none is asked for again
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -21,6 +21,7 @@
 _MAX_SECONDS = 1.0
 _METHOD_BY_PATH = {"/charge/1": "POST", "/lookup/1": "GET"}
 _REFUSED = "502 with code 3010"
+_CUT_OFF = "502 with code 3003"
 
 
 def _to_bytes(text):
@@ -37,6 +38,8 @@
         b"{chunk}": b"%x\r\n%b\r\n" % (len(body), body),
         b"{body}": body,
     }
+    if text == "nothing":
+        return b""
     filled = _to_bytes(text)
     for name, value in value_by_name.items():
         filled = filled.replace(name, value)
@@ -64,10 +67,10 @@
         self._bench = bench
         self._server = server
 
-    def outcome(self, path):
+    def outcome(self, path, body=b""):
         """Send a request and return what the caller got."""
         count = self._server.request_count
-        response = self._bench.request(path, _METHOD_BY_PATH[path])
+        response = self._bench.request(path, _METHOD_BY_PATH[path], body)
         sent = self._server.request_count - count
         if "problem+json" not in response.value("Content-Type"):
             is_sound = response.complete and response.body == _TEXT
@@ -80,7 +83,7 @@
 def start(context):
     context.bench = benches.ForwardingBench()
     context.add_cleanup(context.bench.close)
-    context.bench.configure()
+    context.bench.configure(limits={"max_body_bytes": 4 << 20})
     context.server = scripted_server.ScriptedServer()
     context.add_cleanup(context.server.close)
     record = platform_records.host_record(context.server.address, "till", "lothian-a")
@@ -89,6 +92,23 @@
     benches.wait_until(lambda: "till-a" in host.catalogue.hosts(), "it is known")
 
 
+@behave.when("uploads are answered at once and their connections reset")
+def reset_uploads(context):
+    context.outcomes = []
+    server = context.server
+    for row in context.table:
+        cells = row.as_dict()
+        server.answer = _make_answer(cells, _SIGNED_LINES, _TEXT)
+        server.seconds_to_reset = int(cells["after ms"]) / 1000
+        upload = b"u" * (int(cells["kilobytes"]) << 10)
+        caller = _EntryHostReader(context.bench, server)
+        outcome = caller.outcome("/charge/1", upload)
+        context.outcomes.append((cells, True, "/charge/1", _CUT_OFF, outcome))
+        reader = answer_readers.make_upload_reader(upload, _TEXT)
+        outcome, _, _ = _read_answer(reader, server).partition(" ")
+        context.outcomes.append((cells, True, "serve", reader.error, outcome))
+
+
 def _read_answer(reader, server):
     try:
         told = reader.call(server.address)
@@ -121,8 +141,6 @@
     endings = (True, False)
     for row in context.table:
         cells = row.as_dict()
-        if "nothing" in cells.values():
-            cells = {k: "" if v == "nothing" else v for k, v in cells.items()}
         for closes in endings if cells.pop("ending", "") != "closed" else (True,):
             began = time.monotonic()
             for name, expected, outcome in _play(context, cells, closes):
