Meet an error where a store's answer can't be read

What was seen: a success of the platform's store whose body is no JSON, cut or of another form was a `KeyError` in whichever thread had asked, since `platform.client.Answer` turned such a body into an empty object; readers of a member with a default would have taken it for "nothing there". `etcd_store` raised errors without a code, took `{}` for an absent key and a renewal without a lease for one that has ended.

Cause: members were looked up in whatever the body decoded to.

Change: answers of both stores are decoded into types. The error text of a refusal stays optional: what it decides is told by the status. 409 of a duty still means superseded if its text can't be read, since going on with a number that was refused is the greater harm.

Why it works: a success has to be the document that the call returns, or it is an error that all callers of a store handle.

--- a/features/answer_readers.py
+++ b/features/answer_readers.py
@@ -24,6 +24,7 @@
 from peridothitch.platform import header_codec
 from peridothitch.platform import store as platform_store
 from peridothitch.ports import duties, peers, raw, upstream
+from peridothitch.ports import store as store_port
 
 _TIMEOUT = datetime.timedelta(seconds=1)
 _TEXT = b"twenty bytes of text"
@@ -240,6 +241,68 @@
 """All but the entry host; its own are in ``steps/broken_answers_steps.py``."""
 
 
+def _call_store(method, *args):
+    """Return a call of a method of the platform's store."""
+
+    def call(address):
+        store = platform_store.PlatformStore(address, boot_clock.BootClock())
+        # A lease is known to the client that it was granted to only.
+        store._era_by_lease[7] = 0
+        return getattr(store, method)(*args)
+
+    return call
+
+
+def _call_etcd(method, *args):
+    """Return a call of a method of a store with etcd's interface."""
+    return lambda address: getattr(etcd_store.EtcdStore(address, _TIMEOUT), method)(
+        *args
+    )
+
+
+_READ_ERROR = "StoreUnavailableError 4001"
+_WRITE_ERROR = "StoreUnclearError 4002"
+_ITEM_BODY = json.dumps(_ENTRY).encode()
+_EVENTS_BODY = json.dumps({"events": [_ENTRY], "at": 3}).encode()
+_ETCD_BODY = b'{"header": {"revision": "3"}, "kvs": []}'
+_PUT = ((), (store_port.Put("peridothitch/a", b"a"),))
+JSON_READER_BY_NAME = {
+    "range": READER_BY_NAME["the platform's store"],
+    "grant_lease": READER_BY_NAME["the platform's store, write"],
+    "get": Reader(_call_store("get", "op/a"), _ITEM_BODY, None, _READ_ERROR),
+    "read_changes": Reader(
+        _call_store("read_changes", "op/", 2, _TIMEOUT), _EVENTS_BODY, None, _READ_ERROR
+    ),
+    "transact": Reader(
+        _call_store("transact", *_PUT), b'{"revision": 3}', None, _WRITE_ERROR
+    ),
+    "keep_alive": Reader(
+        _call_store("keep_alive", 7), b'{"ttl_ms": 1000}', None, _WRITE_ERROR
+    ),
+    "etcd, get": Reader(_call_etcd("get", "op/a"), _ETCD_BODY, None, _READ_ERROR),
+    "etcd, range": Reader(_call_etcd("range", "op/"), _ETCD_BODY, None, _READ_ERROR),
+    "etcd, transact": Reader(
+        _call_etcd("transact", *_PUT), _ETCD_BODY, None, _WRITE_ERROR
+    ),
+    "etcd, grant_lease": Reader(
+        _call_etcd("grant_lease", _TIMEOUT),
+        b'{"ID": "7", "TTL": "1"}',
+        None,
+        _WRITE_ERROR,
+    ),
+    "etcd, keep_alive": Reader(
+        _call_etcd("keep_alive", 7), b'{"result": {"ID": "7"}}', None, _WRITE_ERROR
+    ),
+    "etcd, watch": READER_BY_NAME["etcd, watch"],
+    "an engine's report": READER_BY_NAME["an engine's report"],
+    "the list of hosts": READER_BY_NAME["the list of hosts"],
+    "the cloud API": dataclasses.replace(
+        READER_BY_NAME["the cloud API"], error="CloudError 4016"
+    ),
+}
+"""Calls whose answers are documents; what they return for a sound one is not told."""
+
+
 def make_upload_reader(upload, body):
     """Return the reader in ``serve`` of the answer to a request with a body."""
     return Reader(
--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -329,3 +329,17 @@
       | 60        | 30       | Transfer-Encoding: chunked | {chunk} |
       | 3000      | 30       | Transfer-Encoding: chunked | {chunk} |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: A document that can't be read means nothing
+    When answers with these documents are read
+      | body        |
+      | {cut}       |
+      | nothing     |
+      | null        |
+      | 3           |
+      | "text"      |
+      | null\n      |
+      | x{body}     |
+      | {"a": 1}    |
+      | <html>      |
+    Then none of them is an answer, and none is asked for again
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -159,6 +159,20 @@
     return f"{len(faults)} of {len(context.outcomes)}:\n" + "\n".join(lines)
 
 
+@behave.when("answers with these documents are read")
+def send_documents(context):
+    context.outcomes = []
+    server = context.server
+    server.closes = False
+    for row in context.table:
+        for name, reader in answer_readers.JSON_READER_BY_NAME.items():
+            cut = reader.body[: len(reader.body) // 2]
+            body = _fill(row["body"].replace("{cut}", cut.decode()), reader.body)
+            server.answer = _make_answer({"body": "{body}"}, b"", body)
+            outcome = _read_answer(reader, server)
+            context.outcomes.append((row.as_dict(), False, name, reader.error, outcome))
+
+
 @behave.then("each of them is read whole")
 def check_sound(context):
     faults = [played for played in context.outcomes if played[-1] != _SOUND]
--- a/src/peridothitch/adapters/etcd_store.py
+++ b/src/peridothitch/adapters/etcd_store.py
@@ -32,12 +32,55 @@
 """Time for the rest of an answer whose first byte has arrived."""
 
 
-def _encode(text):
-    return base64.b64encode(text.encode()).decode()
+class _Item(msgspec.Struct):
+    key: bytes
+    value: bytes = b""
+    create_revision: int = 0
+    mod_revision: int = 0
+    version: int = 0
+    lease: int = 0
+
+
+class _Header(msgspec.Struct):
+    revision: int
+
+
+class _Range(msgspec.Struct):
+    header: _Header
+    kvs: list[_Item] = []
+
+
+class _Transaction(msgspec.Struct):
+    header: _Header
+    succeeded: bool = False
+
+
+class _Lease(msgspec.Struct):
+    ID: int
+    TTL: int = 0
+
+
+class _Renewal(msgspec.Struct):
+    result: _Lease
 
 
-def _decode(text):
-    return base64.b64decode(text or "")
+class _Event(msgspec.Struct):
+    kv: _Item
+    type: str = "PUT"
+
+
+class _Change(msgspec.Struct):
+    events: list[_Event] = []
+    canceled: bool = False
+    cancel_reason: str = ""
+
+
+class _WatchLine(msgspec.Struct):
+    result: _Change
+
+
+def _encode(text):
+    return base64.b64encode(text.encode()).decode()
 
 
 def prefix_end(prefix):
@@ -67,16 +110,15 @@
     def range(self, prefix):
         """Read all keys that start with `prefix`."""
         end = base64.b64encode(prefix_end(prefix)).decode()
-        reply = self._call("range", {"key": _encode(prefix), "range_end": end})
-        items = [_to_item(kv) for kv in reply.get("kvs", ())]
-        return store.Range(_revision(reply), {item.key: item for item in items})
+        body = {"key": _encode(prefix), "range_end": end}
+        reply = self._call("range", body, _Range)
+        items = [_to_item(kv) for kv in reply.kvs]
+        return store.Range(reply.header.revision, {item.key: item for item in items})
 
     def get(self, key):
         """Read one key."""
-        reply = self._call("range", {"key": _encode(key)})
-        for kv in reply.get("kvs", ()):
-            return _to_item(kv)
-        return None
+        reply = self._call("range", {"key": _encode(key)}, _Range)
+        return _to_item(reply.kvs[0]) if reply.kvs else None
 
     def transact(self, compares, writes):
         """Apply `writes` if all `compares` hold."""
@@ -84,25 +126,22 @@
             "compare": [_to_compare(compare) for compare in compares],
             "success": [_to_operation(write) for write in writes],
         }
-        reply = self._call("txn", body)
-        return store.TransactionResult(
-            bool(reply.get("succeeded", False)), _revision(reply)
-        )
+        reply = self._call("txn", body, _Transaction)
+        return store.TransactionResult(reply.succeeded, reply.header.revision)
 
     def grant_lease(self, ttl):
         """Create a lease; `ttl` is rounded up to whole seconds."""
         seconds = -(-ttl // datetime.timedelta(seconds=1))
-        return int(self._call("lease_grant", {"TTL": str(seconds), "ID": "0"})["ID"])
+        return self._call("lease_grant", {"TTL": str(seconds), "ID": "0"}, _Lease).ID
 
     def keep_alive(self, lease_id):
         """Renew a lease."""
-        reply = self._call("lease_keepalive", {"ID": str(lease_id)})
-        seconds = int(reply.get("result", reply).get("TTL", 0))
-        return datetime.timedelta(seconds=max(0, seconds))
+        reply = self._call("lease_keepalive", {"ID": str(lease_id)}, _Renewal)
+        return datetime.timedelta(seconds=max(0, reply.result.TTL))
 
     def revoke_lease(self, lease_id):
         """End a lease and remove its keys."""
-        self._call("lease_revoke", {"ID": str(lease_id)})
+        self._call("lease_revoke", {"ID": str(lease_id)}, dict)
 
     def watch(self, prefix, start_revision):
         """Watch `prefix` from `start_revision` on."""
@@ -110,7 +149,7 @@
             self._address, self._timeout, self._clock, prefix, start_revision
         )
 
-    def _call(self, method, body):
+    def _call(self, method, body, kind):
         is_write = method != "range"
         connection = getattr(self._local, "connection", None)
         self._local.connection = None
@@ -135,7 +174,7 @@
             connection.close()
             raise _to_error(is_write, f"{method}: {error!r}") from None
         self._local.connection = connection
-        return _parse(response.status, payload, method)
+        return _parse(response.status, payload, method, kind)
 
 
 class _EtcdWatch(store.Watch):
@@ -173,11 +212,13 @@
             raise errors.StoreUnavailableError("watch: silent") from None
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise errors.StoreUnavailableError(f"watch: {error!r}") from None
-        result = msgspec.json.decode(line).get("result", {})
-        if result.get("canceled"):
-            reason = result.get("cancel_reason", "")
-            raise errors.StoreUnavailableError(f"watch: ended: {reason}")
-        return tuple(_to_event(event) for event in result.get("events", ()))
+        try:
+            change = _decode(line, _WatchLine).result
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise errors.StoreUnavailableError(f"watch: {error}") from None
+        if change.canceled:
+            raise errors.StoreUnavailableError(f"watch: ended: {change.cancel_reason}")
+        return tuple(_to_event(event) for event in change.events)
 
     def _read_line(self):
         self._reader.allow(_MAX_ANSWER_BYTES, bounded_reader.MAX_HEAD_BYTES)
@@ -212,32 +253,36 @@
     return errors.StoreUnavailableError(detail)
 
 
-def _parse(status, payload, method):
+def _parse(status, payload, method, kind):
     if status == http.client.OK:
-        return msgspec.json.decode(payload)
+        try:
+            return _decode(payload, kind)
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise _to_error(method != "range", f"{method}: {error}") from None
     # The gateway responds with 4xx and 503 before it applies any write.
     if status < 500 or status == http.client.SERVICE_UNAVAILABLE:
         raise errors.StoreUnavailableError(f"{method}: status {status}")
     raise _to_error(method != "range", f"{method}: status {status}")
 
 
-def _revision(reply):
-    return int(reply["header"]["revision"])
+def _decode(payload, kind):
+    # The gateway writes 64-bit integers as strings.
+    return msgspec.json.decode(payload, type=kind, strict=False)
 
 
 def _to_item(kv):
     return store.KeyValue(
-        key=_decode(kv["key"]).decode(),
-        value=_decode(kv.get("value")),
-        create_revision=int(kv.get("create_revision", 0)),
-        mod_revision=int(kv.get("mod_revision", 0)),
-        version=int(kv.get("version", 0)),
-        lease_id=int(kv.get("lease", 0)),
+        key=kv.key.decode(errors="replace"),
+        value=kv.value,
+        create_revision=kv.create_revision,
+        mod_revision=kv.mod_revision,
+        version=kv.version,
+        lease_id=kv.lease,
     )
 
 
 def _to_event(event):
-    return store.Event(_to_item(event["kv"]), event.get("type") == "DELETE")
+    return store.Event(_to_item(event.kv), event.type == "DELETE")
 
 
 def _to_compare(compare):
--- a/src/peridothitch/platform/client.py
+++ b/src/peridothitch/platform/client.py
@@ -25,11 +25,12 @@
 _MAX_TRANSFER_TIME = datetime.timedelta(seconds=30)
 """Time for the rest of an answer whose first byte has arrived."""
 
+_MAX_SHOWN_BYTES = 60
 _log = logbook.Logger(__name__)
 
 
 class CallError(Exception):
-    """A call got no answer.
+    """A call got no answer, or one that can't be read.
 
     Parameters
     ----------
@@ -49,21 +50,38 @@
     Attributes
     ----------
     status : int
-    fields : dict
-        The decoded JSON body, empty if there is none or it is not an object.
     header_by_name : dict of str to str
         Headers with lower-case names.
     """
 
     def __init__(self, status, body, header_by_name):
+        self._body = body
         self.status = status
         self.header_by_name = header_by_name
+
+    def decode(self, kind):
+        """Return the JSON body as an object of a type.
+
+        Raises
+        ------
+        CallError
+            The body is no JSON, or not that of the type.
+        """
         try:
-            fields = msgspec.json.decode(body) if body else {}
+            return msgspec.json.decode(self._body, type=kind)
         except (msgspec.DecodeError, RecursionError) as error:
-            _log.info("answer is not JSON", status=status, reason=str(error))
-            fields = {}
-        self.fields = fields if isinstance(fields, dict) else {}
+            shown = self._body[:_MAX_SHOWN_BYTES]
+            detail = f"status {self.status} with the body {shown!r}: {error}"
+            raise CallError(detail, True) from None
+
+    @property
+    def error_text(self):
+        """What the body tells about an error, empty if it tells nothing."""
+        try:
+            return str(self.decode(dict).get("error", ""))
+        except CallError as error:
+            _log.info("unreadable answer", reason=str(error))
+            return ""
 
 
 class Client:
--- a/src/peridothitch/platform/duties.py
+++ b/src/peridothitch/platform/duties.py
@@ -70,11 +70,11 @@
             unclear = errors.Code.CLOUD_UNCLEAR
             code = unclear if error.sent else errors.Code.CLOUD_UNAVAILABLE
             raise errors.CloudError(code, str(error)) from None
-        detail = f"status {answer.status} {answer.fields.get('error', '')}".strip()
-        if answer.status in (_TOO_MANY, _UNAVAILABLE):
-            raise errors.CloudError(errors.Code.CLOUD_UNAVAILABLE, detail)
         if answer.status == _OK:
             return duties.DutyAnswer(True)
+        detail = f"status {answer.status} {answer.error_text}".strip()
+        if answer.status in (_TOO_MANY, _UNAVAILABLE):
+            raise errors.CloudError(errors.Code.CLOUD_UNAVAILABLE, detail)
         return duties.DutyAnswer(False, _is_superseded(answer), detail)
 
 
@@ -86,4 +86,4 @@
     """
     if answer.status != _CONFLICT:
         return False
-    return _NO_HOSTS_TEXT not in str(answer.fields.get("error", ""))
+    return _NO_HOSTS_TEXT not in answer.error_text
--- a/src/peridothitch/platform/store.py
+++ b/src/peridothitch/platform/store.py
@@ -10,6 +10,7 @@
 import datetime
 
 import logbook
+import msgspec
 
 from peridothitch import errors
 from peridothitch.platform import client, eras
@@ -32,6 +33,38 @@
 _log = logbook.Logger(__name__)
 
 
+class _Entry(msgspec.Struct):
+    key: str
+    revision: int
+    created: int = 0
+    value: str = ""
+    lease: int = 0
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct):
+    entries: list[_Entry]
+    at: int
+    has_more: bool = False
+
+
+class _Changes(msgspec.Struct):
+    events: list[_Entry]
+    at: int
+
+
+class _Transaction(msgspec.Struct):
+    revision: int
+
+
+class _Grant(msgspec.Struct):
+    lease: int
+
+
+class _Renewal(msgspec.Struct):
+    ttl_ms: float
+
+
 class PlatformStore(store.Store):
     """Client of the platform's store.
 
@@ -66,16 +99,16 @@
             if after is not None:
                 query["after"] = after
             answer, era = self._read("/v1/kv-range", query)
-            _expect(answer, _OK)
-            items = [_to_item(entry, era) for entry in answer.fields["entries"]]
+            page = _decode_answer(answer, _Page, writes=False)
+            items = [_to_item(entry, era) for entry in page.entries]
             item_by_key.update((item.key, item) for item in items)
             if revision is None:
-                revision = store.in_era(era, answer.fields["at"])
+                revision = store.in_era(era, page.at)
             if era != store.era_of(revision):
                 raise errors.StoreUnavailableError(
                     f"pages of eras {store.era_of(revision)} and {era}"
                 )
-            if not answer.fields.get("has_more") or not items:
+            if not page.has_more or not items:
                 return store.Range(revision, item_by_key)
             after = items[-1].key
 
@@ -84,8 +117,7 @@
         answer, era = self._read("/v1/kv-key", {"key": key})
         if answer.status == _ABSENT:
             return None
-        _expect(answer, _OK)
-        return _to_item(answer.fields, era)
+        return _to_item(_decode_answer(answer, _Entry, writes=False), era)
 
     def transact(self, compares, writes):
         """Apply `writes` at once if all `compares` hold."""
@@ -114,7 +146,7 @@
             return store.TransactionResult(False, 0)
         if answer.status == _ABSENT:
             raise errors.StoreUnavailableError("the lease of a write has ended")
-        _expect(answer, _OK)
+        transaction = _decode_answer(answer, _Transaction, writes=True)
         is_of_era = any(row["revision"] for row in expected) or any(
             put.lease_id for put in puts
         )
@@ -123,15 +155,14 @@
             raise errors.StoreUnclearError(
                 f"a write for era {era} was applied in era {answer_era}"
             )
-        revision = store.in_era(answer_era, answer.fields["revision"])
+        revision = store.in_era(answer_era, transaction.revision)
         return store.TransactionResult(True, revision)
 
     def grant_lease(self, ttl):
         """Create a lease."""
         body = {"ttl_ms": ttl // _MILLISECOND}
         answer, era = self._write("POST", "/v1/kv-lease", body)
-        _expect(answer, _OK)
-        lease_id = answer.fields["lease"]
+        lease_id = _decode_answer(answer, _Grant, writes=True).lease
         self._era_by_lease[lease_id] = era
         return lease_id
 
@@ -146,8 +177,7 @@
         answer, answer_era = self._write("POST", f"/v1/kv-keep/{lease_id}")
         if answer.status == _ABSENT or answer_era != era:
             return datetime.timedelta(0)
-        _expect(answer, _OK)
-        return answer.fields["ttl_ms"] * _MILLISECOND
+        return _decode_answer(answer, _Renewal, writes=True).ttl_ms * _MILLISECOND
 
     def revoke_lease(self, lease_id):
         """End a lease; one of an earlier era is left to its end."""
@@ -155,7 +185,7 @@
             return
         answer, _ = self._write("DELETE", f"/v1/kv-lease-end/{lease_id}")
         if answer.status != _ABSENT:
-            _expect(answer, _OK)
+            _check_status(answer)
 
     def watch(self, prefix, start_revision):
         """Watch `prefix` from `start_revision` on."""
@@ -185,9 +215,9 @@
             raise errors.StoreHistoryGoneError(
                 f"no events after revision {store.to_text(after)}, era {answer_era}"
             )
-        _expect(answer, _OK)
-        events = tuple(_to_event(entry, era) for entry in answer.fields["events"])
-        return events, store.in_era(era, answer.fields["at"])
+        changes = _decode_answer(answer, _Changes, writes=False)
+        events = tuple(_to_event(entry, era) for entry in changes.events)
+        return events, store.in_era(era, changes.at)
 
     def _read(self, path, query, timeout=_CALL_TIMEOUT):
         """Return an answer and its era."""
@@ -249,27 +279,39 @@
         """Do nothing; a call in progress ends at its timeout."""
 
 
-def _expect(answer, status):
-    if answer.status == status:
-        return
-    reason = answer.fields.get("error", "")
-    raise errors.StoreUnavailableError(f"status {answer.status} {reason}".strip())
+def _check_status(answer):
+    if answer.status != _OK:
+        raise errors.StoreUnavailableError(
+            f"status {answer.status} {answer.error_text}".strip()
+        )
+
+
+def _decode_answer(answer, kind, writes):
+    """Return the body of a success.
+
+    A body that can't be read says nothing about the store, not that it is empty.
+    """
+    _check_status(answer)
+    try:
+        return answer.decode(kind)
+    except client.CallError as error:
+        raise client.to_store_error(error, writes) from None
 
 
 def _to_item(entry, era):
     return store.KeyValue(
-        key=entry["key"],
-        value=_decode(entry.get("value", "")),
+        key=entry.key,
+        value=_decode(entry.value),
         # "revision" is that of the last change, "created" that of the first one.
-        create_revision=store.in_era(era, entry.get("created", 0)),
-        mod_revision=store.in_era(era, entry["revision"]),
+        create_revision=store.in_era(era, entry.created),
+        mod_revision=store.in_era(era, entry.revision),
         version=0,
-        lease_id=entry.get("lease", 0),
+        lease_id=entry.lease,
     )
 
 
 def _to_event(entry, era):
-    return store.Event(_to_item(entry, era), deleted=bool(entry.get("deleted")))
+    return store.Event(_to_item(entry, era), deleted=entry.deleted)
 
 
 def _to_write(put):
