Read the list of hosts from a success only

What was seen: `[]` with status 500, 503 or 403 was a list without hosts.

Cause: `HttpHostList` decoded the body of any status.

Evidence: 3 of 4 answers of the new scenario were taken for a list before, now none.

Why it works: another status than 200 is the error that an unreadable list is.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -343,3 +343,12 @@
       | {"a": 1}    |
       | <html>      |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: A list of hosts with a status of failure
+    When answers with these documents are read
+      | reader            | status line               | body   |
+      | the list of hosts | HTTP/1.1 500 Server Error | {body} |
+      | the list of hosts | HTTP/1.1 503 Unavailable  | {body} |
+      | the list of hosts | HTTP/1.1 403 Forbidden    | {body} |
+      | the list of hosts | HTTP/1.1 204 No Content   | {body} |
+    Then none of them is an answer, and none is asked for again
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -166,9 +166,12 @@
     server.closes = False
     for row in context.table:
         for name, reader in answer_readers.JSON_READER_BY_NAME.items():
+            if name != row.get("reader", name):
+                continue
             cut = reader.body[: len(reader.body) // 2]
             body = _fill(row["body"].replace("{cut}", cut.decode()), reader.body)
-            server.answer = _make_answer({"body": "{body}"}, b"", body)
+            cells = row.as_dict() | {"body": "{body}"}
+            server.answer = _make_answer(cells, b"", body)
             outcome = _read_answer(reader, server)
             context.outcomes.append((row.as_dict(), False, name, reader.error, outcome))
 
--- a/src/peridothitch/adapters/http_transport.py
+++ b/src/peridothitch/adapters/http_transport.py
@@ -1,6 +1,7 @@
 """Calls upstreams over HTTP with pooled `http.client` connections."""
 
 import datetime
+import http
 import http.client
 import re
 import threading
@@ -227,6 +228,8 @@
                 self._timeout,
             ) as response:
                 payload = response.read()
+            if response.status != http.HTTPStatus.OK:
+                raise http.client.HTTPException(f"status {response.status}")
             hosts = msgspec.json.decode(payload, type=list[upstream.Host])
         except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
             raise errors.UpstreamError(
