Take a host whose answer to a probe is broken for a live one

What was seen: `serve` probes a host that broke off an answer, and takes a failed probe for its crash by the request. A head that can't be read failed the probe, which more heads do since they are read strictly.

Cause: every error of reading counted as no response.

Why it works: bytes that are no answer show a process that listens and writes. A connection that is refused, silent or closed early still fails the probe.

--- a/features/answer_readers.py
+++ b/features/answer_readers.py
@@ -302,6 +302,13 @@
 }
 """Calls whose answers are documents; what they return for a sound one is not told."""
 
+PROBE = Reader(
+    lambda address: http_transport.HttpTransport().probe(_host(address), _TIMEOUT),
+    b"",
+    True,
+    "",
+)
+
 
 def make_upload_reader(upload, body):
     """Return the reader in ``serve`` of the answer to a request with a body."""
--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -352,3 +352,14 @@
       | the list of hosts | HTTP/1.1 403 Forbidden    | {body} |
       | the list of hosts | HTTP/1.1 204 No Content   | {body} |
     Then none of them is an answer, and none is asked for again
+
+  Scenario: A process that answers a probe is there, whatever it answers
+    When a host that is probed answers with
+      | status line               | lines               |
+      | HTTP/1.1 200 OK           | Content-Length: 0   |
+      | HTTP/1.1 500 Server Error | Content-Length: 0   |
+      | HTTP/1.1 000 OK           | Content-Length: 0   |
+      | HTTP/1.1 200 OK           | X A: b              |
+      | HTTP/1.1 200 OK           | Content-Length: one |
+      | no answer                 | X-A: b              |
+    Then each of them is read whole
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -176,6 +176,15 @@
             context.outcomes.append((row.as_dict(), False, name, reader.error, outcome))
 
 
+@behave.when("a host that is probed answers with")
+def probe(context):
+    context.outcomes = []
+    for row in context.table:
+        context.server.answer = _make_answer(row.as_dict(), b"", b"")
+        outcome = _read_answer(answer_readers.PROBE, context.server)
+        context.outcomes.append((row.as_dict(), False, "probe", _SOUND, outcome))
+
+
 @behave.then("each of them is read whole")
 def check_sound(context):
     faults = [played for played in context.outcomes if played[-1] != _SOUND]
--- a/src/peridothitch/adapters/http_transport.py
+++ b/src/peridothitch/adapters/http_transport.py
@@ -88,7 +88,7 @@
         return _HttpExchange(self._pool, host.address, connection, response, reader)
 
     def probe(self, host, timeout):
-        """Send `host` a request on a new connection; any response counts."""
+        """Send `host` a request on a new connection; even a broken response counts."""
         name, _, port = host.address.rpartition(":")
         connection = http.client.HTTPConnection(
             name, int(port), timeout=timeout.total_seconds()
@@ -99,8 +99,10 @@
                 connection, self._clock, _MAX_RESPONSE_BYTES, timeout, timeout
             ):
                 return True
-        except (OSError, http.client.HTTPException):
+        except (OSError, http.client.IncompleteRead):
             return False
+        except http.client.HTTPException:
+            return True
         finally:
             connection.close()
 
