Deliver answers whose Keep-Alive field can't be read

What callers saw: 500 with code 9001 for a whole answer, if the replica's `Keep-Alive: timeout=` held a superscript digit or more seconds than a time can have.

Cause: `isdigit()` takes digits that `int()` does not, `timedelta` has a largest value, and the error came where the whole body had been read already.

Why it works: a time that is no number of up to nine digits is unclear, so the connection is closed instead of kept for a time that nobody named.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -363,3 +363,14 @@
       | HTTP/1.1 200 OK           | Content-Length: one |
       | no answer                 | X-A: b              |
     Then each of them is read whole
+
+  Scenario: A time for idle connections that is none
+    When answers come with
+      | lines                                                                |
+      | Keep-Alive: timeout=5, max=3\r\nContent-Length: {n}                   |
+      | Keep-Alive: timeout=\r\nContent-Length: {n}                           |
+      | Keep-Alive: timeout=-1\r\nContent-Length: {n}                         |
+      | Keep-Alive: timeout=\xb2\r\nContent-Length: {n}                       |
+      | Keep-Alive: timeout=99999999999999999999\r\nContent-Length: {n}       |
+      | Keep-Alive: timeout=0\r\nContent-Length: {n}                          |
+    Then each of them is read whole
--- a/src/peridothitch/adapters/raw_transport.py
+++ b/src/peridothitch/adapters/raw_transport.py
@@ -2,6 +2,7 @@
 
 import datetime
 import http.client
+import re
 import threading
 
 from peridothitch import bounded_reader, errors, http_response, sockets
@@ -23,6 +24,7 @@
 _READ_BYTES = 1 << 16
 _MAX_RESPONSE_HEADS = 2
 _EVENT_STREAM_TYPE = "text/event-stream"
+_SECONDS = re.compile("[0-9]{1,9}")
 _NO_TIME = datetime.timedelta(0)
 _DEFAULT_LIMITS = raw.ResponseLimits()
 
@@ -351,12 +353,12 @@
         self._pool.release(self._key, connection)
 
     def _idle_time(self):
-        for name, value in self.fields:
-            if name.lower() != "keep-alive":
+        """Return how long the connection may be idle; not at all if that is unclear."""
+        for option in self._response.header_by_name.get("keep-alive", "").split(","):
+            key, _, text = option.strip().partition("=")
+            if key.lower() != "timeout":
                 continue
-            for option in value.split(","):
-                key, _, text = option.strip().partition("=")
-                if key.lower() == "timeout" and text.isdigit():
-                    seconds = datetime.timedelta(seconds=int(text))
-                    return seconds - _IDLE_MARGIN
+            if not _SECONDS.fullmatch(text):
+                return _NO_TIME
+            return datetime.timedelta(seconds=int(text)) - _IDLE_MARGIN
         return _DEFAULT_IDLE_TIME
