Pass on events whose ids are no numbers

What callers saw: a stream broke off with an error without a code at an event whose id was a superscript digit or had over 4,300 digits.

Cause: `isdigit()` takes digits that `int()` does not, and `int()` refuses very long numbers.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -374,3 +374,12 @@
       | Keep-Alive: timeout=99999999999999999999\r\nContent-Length: {n}       |
       | Keep-Alive: timeout=0\r\nContent-Length: {n}                          |
     Then each of them is read whole
+
+  Scenario: The ids of events are no numbers
+    When a stream has events with the ids
+      | id   | times |
+      | \xb2 | 1     |
+      | x    | 1     |
+      | 9    | 20    |
+      | 9    | 5000  |
+    Then each of them is read whole
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -9,6 +9,7 @@
 import scripted_server
 
 from peridothitch import errors
+from peridothitch.policy import resumption
 from peridothitch.standins import platform_records
 
 _STATUS_LINE = "HTTP/1.1 200 OK"
@@ -20,6 +21,7 @@
 _CLOSE_LINE = b"Connection: close\r\n"
 _MAX_SECONDS = 1.0
 _METHOD_BY_PATH = {"/charge/1": "POST", "/lookup/1": "GET"}
+_SERVICES = ("till", "model")
 _REFUSED = "502 with code 3010"
 _CUT_OFF = "502 with code 3003"
 
@@ -86,10 +88,12 @@
     context.bench.configure(limits={"max_body_bytes": 4 << 20})
     context.server = scripted_server.ScriptedServer()
     context.add_cleanup(context.server.close)
-    record = platform_records.host_record(context.server.address, "till", "lothian-a")
-    context.bench.store.put("servers/till-a", record)
-    host = context.bench.start_host()
-    benches.wait_until(lambda: "till-a" in host.catalogue.hosts(), "it is known")
+    address = context.server.address
+    for service in _SERVICES:
+        record = platform_records.host_record(address, service, "lothian-a")
+        context.bench.store.put(f"servers/{service}-a", record)
+    known = context.bench.start_host().catalogue.hosts
+    benches.wait_until(lambda: len(known()) == len(_SERVICES), "they are known")
 
 
 @behave.when("uploads are answered at once and their connections reset")
@@ -176,6 +180,34 @@
             context.outcomes.append((row.as_dict(), False, name, reader.error, outcome))
 
 
+@behave.when("a stream has events with the ids")
+def send_events(context):
+    context.outcomes = []
+    for row in context.table:
+        event_id = _to_bytes(row["id"]) * int(row["times"])
+        event = b"id: %b\ndata: a\n\n" % event_id
+        lines = "Content-Type: text/event-stream\\r\\nContent-Length: {n}"
+        answer = _make_answer({"lines": lines}, _SIGNED_LINES, event)
+        context.server.answer = answer
+        response = context.bench.request("/planner/1")
+        is_sound = response.complete and response.body == event
+        outcome = _SOUND if is_sound else f"{response}"
+        context.outcomes.append((row.as_dict(), False, "/planner/1", _SOUND, outcome))
+        outcome = _add_event(event)
+        context.outcomes.append((row.as_dict(), False, "serve", _SOUND, outcome))
+
+
+def _add_event(event):
+    """Return what becomes of an event in ``serve``, which may call it interrupted."""
+    try:
+        resumption.StreamProgress().add_event(event)
+    except errors.UpstreamError:
+        return _SOUND
+    except Exception as error:
+        return f"unexpected {error!r}"
+    return _SOUND
+
+
 @behave.when("a host that is probed answers with")
 def probe(context):
     context.outcomes = []
--- a/src/peridothitch/policy/event_stream.py
+++ b/src/peridothitch/policy/event_stream.py
@@ -9,6 +9,7 @@
 _MAX_END_OVERLAP = 2
 """Bytes of an event's end that may have arrived before its last one."""
 
+_NUMBER = re.compile("[0-9]{1,18}")
 _ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 
 
@@ -29,8 +30,8 @@
 
     @property
     def number(self):
-        """The id as int, None if it is not a number."""
-        return int(self.event_id) if self.event_id.isdigit() else None
+        """The id as int, None if it is not a number of up to 18 digits."""
+        return int(self.event_id) if _NUMBER.fullmatch(self.event_id) else None
 
 
 class EventSplitter:
--- a/src/peridothitch/policy/resumption.py
+++ b/src/peridothitch/policy/resumption.py
@@ -11,6 +11,7 @@
 _DONE = b"data: [DONE]"
 _DONE_EVENT = b"data: [DONE]\n\n"
 _DATA = b"data: "
+_MAX_ID_DIGITS = 18
 _ID = b"id: "
 _END = b"\n\n"
 _TOKEN_MARK = b'"content"'
@@ -124,7 +125,9 @@
         return None, event
     line, _, payload = event.partition(b"\n")
     number = line[len(_ID) :].strip()
-    return (int(number) if number.isdigit() else None), payload
+    # `int()` refuses very long numbers; this many digits exceed every expected id.
+    digits = number[:_MAX_ID_DIGITS]
+    return (int(digits) if number.isdigit() else None), payload
 
 
 def _content(event):
