Show what follows a broken head

The connection is closed, the log names the replica and what was wrong, a request that may be repeated is answered by another replica. The product is unchanged.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -383,3 +383,23 @@
       | 9    | 20    |
       | 9    | 5000  |
     Then each of them is read whole
+
+  Scenario: What follows a broken head
+    When answers come with
+      | status line     | lines                                     |
+      | HTTP/1.1 200 OK | X A: b\r\nContent-Length: {n}             |
+      | HTTP/1.1 200 OK | Content-Length: {half}, {n}               |
+      | HTTP/1.1 200 OK | Transfer-Encoding: chunked, chunked       |
+      | HTTP/1.1 +20 OK | Content-Length: {n}                       |
+    Then none of them is an answer, and none is asked for again
+    And the connections they came on are closed
+    And the log of the entry host names what was wrong with each
+      | log                                               |
+      | not a field: b'X A: b'                            |
+      | not one length: '10, 20'                          |
+      | not the coding chunked: HTTP/1.1, ['chunked, chunked'] |
+      | not a status line: b'HTTP/1.1 +20 OK'             |
+
+  Scenario: A request that may be repeated is sent to another replica
+    When a sound replica is added and callers get lookups until a broken answer
+    Then each lookup is answered
--- a/features/scripted_server.py
+++ b/features/scripted_server.py
@@ -25,7 +25,7 @@
     seconds_to_reset : float or None
         If given, the answer follows the request's head at once, and the connection is
         reset so much later, with the request's body unread.
-    request_count : int
+    request_count, open_connections : int
     """
 
     def __init__(self, answer=b"", closes=False):
@@ -33,6 +33,8 @@
         self.closes = closes
         self.seconds_to_reset = None
         self.request_count = 0
+        self.open_connections = 0
+        self._lock = threading.Lock()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -52,6 +54,17 @@
                 threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock):
+        self._count_connection(1)
+        try:
+            self._answer_requests(sock)
+        finally:
+            self._count_connection(-1)
+
+    def _count_connection(self, change):
+        with self._lock:
+            self.open_connections += change
+
+    def _answer_requests(self, sock):
         sock.settimeout(_TIMEOUT_SECONDS)
         with contextlib.closing(sock), contextlib.suppress(OSError):
             while head := _read_request(sock, self.seconds_to_reset is None):
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -6,6 +6,7 @@
 import answer_readers
 import behave
 import forwarding_bench as benches
+import logbook
 import scripted_server
 
 from peridothitch import errors
@@ -21,6 +22,7 @@
 _CLOSE_LINE = b"Connection: close\r\n"
 _MAX_SECONDS = 1.0
 _METHOD_BY_PATH = {"/charge/1": "POST", "/lookup/1": "GET"}
+_MAX_LOOKUPS = 40
 _SERVICES = ("till", "model")
 _REFUSED = "502 with code 3010"
 _CUT_OFF = "502 with code 3003"
@@ -88,6 +90,9 @@
     context.bench.configure(limits={"max_body_bytes": 4 << 20})
     context.server = scripted_server.ScriptedServer()
     context.add_cleanup(context.server.close)
+    context.log = logbook.TestHandler()
+    context.log.push_application()
+    context.add_cleanup(context.log.pop_application)
     address = context.server.address
     for service in _SERVICES:
         record = platform_records.host_record(address, service, "lothian-a")
@@ -227,3 +232,39 @@
 def check_broken(context):
     faults = [played for played in context.outcomes if played[-1] != played[-2]]
     assert not faults, _report(context, faults)
+
+
+@behave.then("the connections they came on are closed")
+def check_closed(context):
+    benches.wait_until(
+        lambda: not context.server.open_connections, "the connections are closed"
+    )
+
+
+@behave.then("the log of the entry host names what was wrong with each")
+def check_log(context):
+    reasons = [str(record.kwargs.get("reason")) for record in context.log.records]
+    missing = [row["log"] for row in context.table if not _names(reasons, row["log"])]
+    assert not missing, (missing, reasons)
+
+
+def _names(reasons, text):
+    return any(text in reason and "till-a" in reason for reason in reasons)
+
+
+@behave.when("a sound replica is added and callers get lookups until a broken answer")
+def get_lookups(context):
+    bench, server = context.bench, context.server
+    server.answer = _make_answer({"lines": "X A: b"}, _SIGNED_LINES, _TEXT)
+    bench.add_replica("till-b", "till")
+    known = bench.hosts[0].catalogue.hosts
+    benches.wait_until(lambda: "till-b" in known(), "it is known")
+    context.statuses = []
+    while not server.request_count and len(context.statuses) < _MAX_LOOKUPS:
+        context.statuses.append(bench.request("/lookup/1", "GET").status)
+
+
+@behave.then("each lookup is answered")
+def check_lookups(context):
+    assert context.server.request_count, "no broken answer was sent"
+    assert set(context.statuses) == {200}, context.statuses
