Refuse a body that is declared too large before it is read

What was seen: since all answers are read with `http_response`, a store's or a host's answer that declares more than its bound was read up to the bound before it was an error. Nothing reached anybody; up to 64 MB were read for nothing.

Cause: `http.client` asked the reader for the whole length at once, which the reader refused; `Response` asks for parts.

`BoundedReader` loses what only `http.client` used: `read`, `readinto`, `flush`, `readline` with a limit.

--- a/features/endless_responses.feature
+++ b/features/endless_responses.feature
@@ -71,6 +71,9 @@
       | callee                       | place             | error                 | megabytes |
       | the platform's store         | interim responses | StoreUnavailableError | 8         |
       | the platform's store         | body              | StoreUnavailableError | 72        |
+      | the platform's store         | body of 100 gigabytes | StoreUnavailableError | 8  |
+      | a host that is called        | body of 100 gigabytes | UpstreamError         | 8  |
+      | a host whose report is read  | body of 100 gigabytes | UpstreamError         | 8  |
       | the platform's duties        | interim responses | CloudError            | 8         |
       | the platform's duties        | body              | CloudError            | 72        |
       | a host that is called        | interim responses | UpstreamError         | 8         |
--- a/src/peridothitch/bounded_reader.py
+++ b/src/peridothitch/bounded_reader.py
@@ -1,8 +1,7 @@
 """Reads HTTP responses from a socket with limits on size and time.
 
-A faulty server may send bytes without end. `http.client` limits the length of a line
-and the number of header fields, but not the interim responses, the size of a body, or
-the time that a response takes.
+A faulty server may send bytes without end, in a line, in the head or in the body, or
+take a long time for each.
 """
 
 import contextlib
@@ -43,8 +42,7 @@
 class BoundedReader:
     """Buffered reader of one connection, for one or several responses.
 
-    It takes the place of the socket and of the file that `http.client` reads from.
-    Unlike that file, it retains what was read beyond the end of a response.
+    It retains what was read beyond the end of a response.
 
     Parameters
     ----------
@@ -88,7 +86,7 @@
         self._line_limit = self._line_allowance = line_size
 
     def makefile(self, mode):
-        """Return this reader; `http.client` requests a file from its socket."""
+        """Return this reader; responses request a file from their socket."""
         return self
 
     @property
@@ -103,55 +101,40 @@
                 return True
         return self.buffer.startswith(prefix)
 
-    def readline(self, limit=-1):
-        """Return a line of at most `limit` bytes.
+    def readline(self):
+        """Return a line, without its end if it is longer than 64 KB.
 
         Raises
         ------
         http.client.IncompleteRead
-            The server closed the connection inside the line or before it; `http.client`
-            would take that for the end of a head.
+            The server closed the connection inside the line or before it.
         """
-        max_bytes = limit if limit >= 0 else _MAX_LINE_BYTES
         searched = 0
         while True:
             end = self.buffer.find(b"\n", searched) + 1
             searched = len(self.buffer)
-            if end or searched >= max_bytes:
+            if end or searched >= _MAX_LINE_BYTES:
                 break
             if not self.fill():
                 raise http.client.IncompleteRead(bytes(self.buffer))
-        line = self.consume(min(end or max_bytes, max_bytes))
+        line = self.consume(min(end or _MAX_LINE_BYTES, _MAX_LINE_BYTES))
         self._line_allowance -= len(line)
         if self._line_allowance < 0:
             raise SizeLimitError(self._line_limit)
         return line
 
-    def read(self, size=-1):
-        """Return `size` bytes, or all until the server closes the connection."""
+    def check_size(self, size):
+        """Raise `SizeLimitError` if `size` bytes are more than may still be read."""
         if size > self._allowance:
             raise SizeLimitError(self._limit)
-        while size < 0 or len(self.buffer) < size:
-            if not self.fill():
-                break
-        return self._consume_body(len(self.buffer) if size < 0 else size)
 
-    def read1(self, size=-1):
+    def read1(self, size):
         """Return at most `size` bytes with at most one read from the socket."""
         if size and not self.buffer:
             self.fill()
-        return self._consume_body(len(self.buffer) if size < 0 else size)
-
-    def _consume_body(self, size):
         self._line_allowance = self._line_limit
         return self.consume(size)
 
-    def readinto(self, target):
-        """Fill `target`; returns the number of bytes."""
-        data = self.read(len(target))
-        target[: len(data)] = data
-        return len(data)
-
     def fill(self):
         """Wait for further bytes; returns whether there were any."""
         if len(self.buffer) > self._allowance:
@@ -179,9 +162,6 @@
             raise SizeLimitError(self._limit)
         return data
 
-    def flush(self):
-        """Do nothing; `http.client` flushes its file."""
-
     def close(self):
         """Do nothing; the connection is closed with its socket."""
 
--- a/src/peridothitch/http_response.py
+++ b/src/peridothitch/http_response.py
@@ -105,6 +105,7 @@
             return data
         if self.length is None:
             return self._reader.read1(size)
+        self._reader.check_size(self.length)
         data = self._reader.read1(min(size, self.length))
         if not data:
             raise http.client.IncompleteRead(b"", self.length)
