--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -19,11 +19,20 @@
 import threading
 import time
 import tomllib
+import traceback
 
 from peridothitch.adapters import boot_clock, wsgi_server
 from peridothitch.standins import metadata_store, platform_duties
 
-__all__ = ["Client", "EntryProcess", "Fleet", "Record", "free_port", "has_trouble"]
+__all__ = [
+    "Client",
+    "EntryProcess",
+    "Fleet",
+    "Record",
+    "exit_with",
+    "free_port",
+    "has_trouble",
+]
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 ZONES = {"lothian-a": "lothian", "fife-a": "fife", "ayrshire-a": "ayrshire"}
@@ -74,6 +83,16 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def exit_with(main):
+    """End the script with what ``main()`` returns, 2 if it fails."""
+    try:
+        code = main()
+    except Exception:
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
+
+
 def free_port():
     """Return a port without a listener."""
     while True:
